--- a/src/skylarkseam/core/subquery.hpp
+++ b/src/skylarkseam/core/subquery.hpp
@@ -39,6 +39,7 @@
 struct subquery_cancel {
     query_id query = 0;
     std::vector<std::uint32_t> attempts; ///< empty: all of the query's
+    std::string coordinator{};           ///< as in subquery_batch; filled in by the shell
 };
 
 /// How an attempt ended, as the owner saw it.
--- /dev/null
+++ b/src/skylarkseam/shell/http_client.cpp
@@ -0,0 +1,284 @@
+#include <skylarkseam/shell/http_client.hpp>
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::size_t max_answer_bytes = 8U << 20U;
+constexpr long default_connections_per_host = 128;
+constexpr long max_cached_connections = 16384;
+
+std::string lower_case(std::string text) {
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+std::string trimmed(std::string text) {
+    const auto is_blank = [](char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; };
+    while (!text.empty() && is_blank(text.back())) {
+        text.pop_back();
+    }
+    const auto first = std::find_if_not(text.begin(), text.end(), is_blank);
+    text.erase(text.begin(), first);
+    return text;
+}
+
+struct curl_call {
+    http_call_id id = 0;
+    CURL* easy = nullptr;
+    curl_slist* header_list = nullptr;
+    http_request request;
+    http_response response;
+    std::function<void(http_response)> on_answer;
+
+    curl_call() = default;
+    ~curl_call() { curl_slist_free_all(header_list); }
+    curl_call(const curl_call&) = delete;
+    curl_call& operator=(const curl_call&) = delete;
+};
+
+std::size_t write_body(char* data, std::size_t size, std::size_t count, void* user) {
+    auto* const call = static_cast<curl_call*>(user);
+    if (call->response.body.size() + size * count > max_answer_bytes) {
+        return 0;
+    }
+    call->response.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t write_header(char* data, std::size_t size, std::size_t count, void* user) {
+    auto* const call = static_cast<curl_call*>(user);
+    const std::string line(data, size * count);
+    const auto colon = line.find(':');
+    if (colon != std::string::npos) {
+        call->response.headers.push_back(
+            {lower_case(line.substr(0, colon)), trimmed(line.substr(colon + 1))});
+    }
+    return size * count;
+}
+
+bool is_reset(CURLcode code) {
+    return code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_GOT_NOTHING ||
+           code == CURLE_PARTIAL_FILE || code == CURLE_COULDNT_CONNECT;
+}
+
+} // namespace
+
+std::string http_response::header(const std::string& name) const {
+    for (const auto& it : headers) {
+        if (it.name == name) {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+struct http_client::impl {
+    event_loop& loop;
+    CURLM* multi = nullptr;
+    std::unordered_map<http_call_id, std::unique_ptr<curl_call>> calls;
+    std::vector<CURL*> idle; ///< handles whose allocations are used again
+    http_call_id last_id = 0;
+    timer_id timer = -1;
+
+    explicit impl(event_loop& event_loop)
+        : loop(event_loop) {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        multi = curl_multi_init();
+        if (multi == nullptr) {
+            throw std::runtime_error("curl_multi_init failed");
+        }
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &impl::on_socket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &impl::on_timer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, default_connections_per_host);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, max_cached_connections);
+    }
+
+    ~impl() {
+        for (auto& [id, it] : calls) {
+            curl_multi_remove_handle(multi, it->easy);
+            curl_easy_cleanup(it->easy);
+        }
+        for (auto* const it : idle) {
+            curl_easy_cleanup(it);
+        }
+        curl_multi_cleanup(multi);
+        if (timer >= 0) {
+            loop.cancel(timer);
+        }
+    }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    static int on_socket(CURL*, curl_socket_t fd, int what, void* user, void*) {
+        auto* const self = static_cast<impl*>(user);
+        if (what == CURL_POLL_REMOVE) {
+            self->loop.unwatch(fd);
+            return 0;
+        }
+        const readiness interest{(what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0};
+        self->loop.watch(fd, interest, [self, fd](readiness ready) { self->on_ready(fd, ready); });
+        return 0;
+    }
+
+    static int on_timer(CURLM*, long timeout_ms, void* user) {
+        auto* const self = static_cast<impl*>(user);
+        if (self->timer >= 0) {
+            self->loop.cancel(self->timer);
+            self->timer = -1;
+        }
+        if (timeout_ms >= 0) {
+            self->timer = self->loop.run_after(milliseconds(timeout_ms), [self] {
+                self->timer = -1;
+                self->perform(CURL_SOCKET_TIMEOUT, 0);
+            });
+        }
+        return 0;
+    }
+
+    void on_ready(int fd, readiness ready) {
+        int flags = 0;
+        flags |= ready.readable ? CURL_CSELECT_IN : 0;
+        flags |= ready.writable ? CURL_CSELECT_OUT : 0;
+        perform(fd, flags);
+    }
+
+    void perform(curl_socket_t fd, int flags) {
+        int running = 0;
+        curl_multi_socket_action(multi, fd, flags, &running);
+        collect();
+    }
+
+    void collect() {
+        int left = 0;
+        while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            void* user = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+            finish(static_cast<curl_call*>(user)->id, message->data.result);
+        }
+    }
+
+    void finish(http_call_id id, CURLcode code) {
+        const auto it = calls.find(id);
+        auto call = std::move(it->second);
+        calls.erase(it);
+        describe(*call, code);
+        release(*call);
+        call->on_answer(std::move(call->response));
+    }
+
+    static void describe(curl_call& call, CURLcode code) {
+        long bytes = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &bytes);
+        call.response.sent = bytes > 0;
+        if (code == CURLE_OK) {
+            long status = 0;
+            curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
+            call.response.status = static_cast<int>(status);
+            return;
+        }
+        call.response.body.clear();
+        call.response.detail = curl_easy_strerror(code);
+        call.response.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+        call.response.reset = is_reset(code);
+    }
+
+    void release(curl_call& call) {
+        curl_multi_remove_handle(multi, call.easy);
+        curl_easy_reset(call.easy);
+        idle.push_back(call.easy);
+        call.easy = nullptr;
+    }
+
+    CURL* take_handle() {
+        if (idle.empty()) {
+            return curl_easy_init();
+        }
+        auto* const easy = idle.back();
+        idle.pop_back();
+        return easy;
+    }
+};
+
+http_client::http_client(event_loop& loop)
+    : impl_(std::make_unique<impl>(loop)) {}
+
+http_client::~http_client() = default;
+
+namespace {
+
+void set_options(curl_call& call) {
+    auto* const easy = call.easy;
+    const auto& request = call.request;
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(to_ms(request.timeout))));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &write_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &write_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
+    if (request.never_resend) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    for (const auto& it : request.headers) {
+        call.header_list = curl_slist_append(call.header_list, it.c_str());
+    }
+    if (request.method == "POST" || request.method == "PUT") {
+        call.header_list = curl_slist_append(call.header_list, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+    }
+    if (request.method != "GET" && request.method != "POST") {
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.header_list);
+}
+
+} // namespace
+
+http_call_id http_client::send(http_request request, std::function<void(http_response)> on_answer) {
+    auto call = std::make_unique<curl_call>();
+    call->id = ++impl_->last_id;
+    call->easy = impl_->take_handle();
+    call->request = std::move(request);
+    call->on_answer = std::move(on_answer);
+    set_options(*call);
+    const auto id = call->id;
+    auto* const easy = call->easy;
+    impl_->calls[id] = std::move(call);
+    curl_multi_add_handle(impl_->multi, easy);
+    return id;
+}
+
+void http_client::abort(http_call_id id) {
+    const auto it = impl_->calls.find(id);
+    if (it == impl_->calls.end()) {
+        return;
+    }
+    auto call = std::move(it->second);
+    impl_->calls.erase(it);
+    impl_->release(*call);
+}
+
+std::size_t http_client::open_calls() const {
+    return impl_->calls.size();
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/http_client.hpp
+++ b/src/skylarkseam/shell/http_client.hpp
@@ -16,7 +16,9 @@
     std::vector<std::string> headers; ///< "Name: value"
     std::string body;
     duration timeout = seconds(5);
-    std::uint32_t connection_limit = 0; ///< connections to this host at a time; 0 for the client's default
+    /// Sent on a connection of its own, which libcurl never sends again on: it repeats a request only where a
+    /// kept connection turns out to be closed. Needed for whatever must not run twice.
+    bool never_resend = false;
 };
 
 struct http_header {
--- /dev/null
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -0,0 +1,287 @@
+#include <skylarkseam/shell/http_server.hpp>
+#include <skylarkseam/shell/socket_address.hpp>
+
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+#include <stdexcept>
+#include <unordered_set>
+
+namespace skylarkseam {
+namespace {
+
+constexpr unsigned idle_timeout_s = 60;
+
+/// The state of one request, from its first header to the end of its answer.
+struct exchange {
+    MHD_Connection* connection = nullptr;
+    incoming_request request;
+    std::optional<outgoing_response> response;
+    bool refused = false; ///< answered with an error before the handler saw it
+    bool handed_over = false;
+    bool suspended = false;
+    bool alive = true; ///< false once the client or the server has gone
+};
+
+std::string decoded(std::string text) {
+    const std::size_t n = MHD_http_unescape(text.data());
+    text.resize(n);
+    return text;
+}
+
+MHD_Result collect_header(void* user, MHD_ValueKind, const char* key, const char* value) {
+    auto* const headers = static_cast<std::vector<http_header>*>(user);
+    std::string name = key;
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    headers->push_back({std::move(name), value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+MHD_Result collect_argument(void* user, MHD_ValueKind, const char* key, const char* value) {
+    auto* const arguments = static_cast<std::vector<http_header>*>(user);
+    arguments->push_back({key, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+std::string find_value(const std::vector<http_header>& list, const std::string& name) {
+    for (const auto& it : list) {
+        if (it.name == name) {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+outgoing_response refusal(int status, const std::string& kind, const std::string& detail) {
+    outgoing_response response;
+    response.status = status;
+    response.body = R"({"error":")" + kind + R"(","ran":"no","detail":")" + detail + "\"}";
+    return response;
+}
+
+} // namespace
+
+std::string incoming_request::header(const std::string& name) const {
+    return find_value(headers, name);
+}
+
+std::string incoming_request::argument(const std::string& name) const {
+    return find_value(arguments, name);
+}
+
+std::vector<std::string> incoming_request::segments() const {
+    std::vector<std::string> parts;
+    std::size_t begin = 1;
+    while (begin < path.size()) {
+        const auto end = std::min(path.find('/', begin), path.size());
+        parts.push_back(decoded(path.substr(begin, end - begin)));
+        begin = end + 1;
+    }
+    return parts;
+}
+
+struct http_server::impl {
+    event_loop& loop;
+    http_limits limits;
+    handler on_request;
+    MHD_Daemon* daemon = nullptr;
+    int epoll_fd = -1;
+    timer_id timer = -1;
+    bool run_posted = false;
+    std::uint64_t rejected = 0;
+    std::unordered_set<std::shared_ptr<exchange>> exchanges;
+
+    impl(event_loop& event_loop, http_limits http_limits, handler request_handler)
+        : loop(event_loop)
+        , limits(http_limits)
+        , on_request(std::move(request_handler)) {}
+
+    ~impl() {
+        for (const auto& it : exchanges) {
+            it->alive = false;
+            if (it->suspended) {
+                MHD_resume_connection(it->connection);
+            }
+        }
+        if (daemon != nullptr) {
+            loop.unwatch(epoll_fd);
+            MHD_stop_daemon(daemon);
+        }
+        if (timer >= 0) {
+            loop.cancel(timer);
+        }
+    }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    static void* on_uri(void*, const char* uri, MHD_Connection* connection) {
+        auto* const holder = new std::shared_ptr<exchange>(std::make_shared<exchange>());
+        (*holder)->connection = connection;
+        const std::string whole = uri;
+        (*holder)->request.path = whole.substr(0, whole.find('?'));
+        return holder;
+    }
+
+    static MHD_Result on_access(void* user, MHD_Connection* connection, const char*, const char* method,
+                                const char*, const char* data, std::size_t* size, void** state) {
+        auto* const self = static_cast<impl*>(user);
+        const auto& it = *static_cast<std::shared_ptr<exchange>*>(*state);
+        if (it->request.method.empty()) {
+            self->begin(it, method);
+            return MHD_YES;
+        }
+        if (*size > 0) {
+            self->take_body(it, data, *size);
+            *size = 0;
+            return MHD_YES;
+        }
+        if (it->response) {
+            return self->queue(it, connection);
+        }
+        return self->hand_over(it, connection);
+    }
+
+    static void on_completed(void* user, MHD_Connection*, void** state, MHD_RequestTerminationCode) {
+        auto* const self = static_cast<impl*>(user);
+        auto* const holder = static_cast<std::shared_ptr<exchange>*>(*state);
+        if (holder == nullptr) {
+            return;
+        }
+        (*holder)->alive = false;
+        self->exchanges.erase(*holder);
+        delete holder;
+        *state = nullptr;
+    }
+
+    void begin(const std::shared_ptr<exchange>& it, const char* method) {
+        it->request.method = method;
+        MHD_get_connection_values(it->connection, MHD_HEADER_KIND, &collect_header, &it->request.headers);
+        MHD_get_connection_values(it->connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
+                                  &it->request.arguments);
+        if (exchanges.size() >= limits.open_requests) {
+            refuse(it, refusal(503, "overloaded", "too many open requests"));
+            return;
+        }
+        exchanges.insert(it);
+    }
+
+    void take_body(const std::shared_ptr<exchange>& it, const char* data, std::size_t size) {
+        if (it->refused) {
+            return;
+        }
+        if (it->request.body.size() + size > limits.body_bytes) {
+            it->request.body.clear();
+            refuse(it, refusal(413, "payload_too_large",
+                               "the body is larger than " + std::to_string(limits.body_bytes) + " bytes"));
+            return;
+        }
+        it->request.body.append(data, size);
+    }
+
+    void refuse(const std::shared_ptr<exchange>& it, outgoing_response response) {
+        ++rejected;
+        it->refused = true;
+        it->response = std::move(response);
+    }
+
+    MHD_Result hand_over(const std::shared_ptr<exchange>& it, MHD_Connection* connection) {
+        if (!it->handed_over) {
+            it->handed_over = true;
+            on_request(std::move(it->request),
+                       [this, it](outgoing_response response) { answer(it, std::move(response)); });
+        }
+        if (it->response) {
+            return queue(it, connection);
+        }
+        it->suspended = true;
+        MHD_suspend_connection(connection);
+        return MHD_YES;
+    }
+
+    void answer(const std::shared_ptr<exchange>& it, outgoing_response response) {
+        if (!it->alive || it->response) {
+            return;
+        }
+        it->response = std::move(response);
+        if (it->suspended) {
+            it->suspended = false;
+            MHD_resume_connection(it->connection);
+            run_soon();
+        }
+    }
+
+    static MHD_Result queue(const std::shared_ptr<exchange>& it, MHD_Connection* connection) {
+        auto& response = *it->response;
+        auto* const body = MHD_create_response_from_buffer(response.body.size(), response.body.data(),
+                                                           MHD_RESPMEM_MUST_COPY);
+        MHD_add_response_header(body, "Content-Type", response.content_type.c_str());
+        for (const auto& header : response.headers) {
+            MHD_add_response_header(body, header.name.c_str(), header.value.c_str());
+        }
+        const auto done = MHD_queue_response(connection, static_cast<unsigned>(response.status), body);
+        MHD_destroy_response(body);
+        return done;
+    }
+
+    void run_soon() {
+        if (run_posted) {
+            return;
+        }
+        run_posted = true;
+        loop.post([this] {
+            run_posted = false;
+            run();
+        });
+    }
+
+    void run() {
+        MHD_run(daemon);
+        if (timer >= 0) {
+            loop.cancel(timer);
+            timer = -1;
+        }
+        MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+        if (MHD_get_timeout(daemon, &timeout_ms) != MHD_YES) {
+            return;
+        }
+        timer = loop.run_after(milliseconds(static_cast<std::int64_t>(timeout_ms)), [this] {
+            timer = -1;
+            run();
+        });
+    }
+};
+
+http_server::http_server(event_loop& loop, http_limits limits, handler on_request)
+    : impl_(std::make_unique<impl>(loop, limits, std::move(on_request))) {}
+
+http_server::~http_server() = default;
+
+std::string http_server::listen(const std::string& address) {
+    const int fd = open_listener(address);
+    impl_->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &impl::on_access, impl_.get(),
+        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, &impl::on_uri, nullptr,
+        MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, impl_.get(), MHD_OPTION_CONNECTION_LIMIT,
+        impl_->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_s,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, impl_->limits.header_bytes, MHD_OPTION_END);
+    if (impl_->daemon == nullptr) {
+        throw std::runtime_error("the HTTP server could not start on " + address);
+    }
+    const auto* const info = MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    impl_->epoll_fd = info->listen_fd;
+    impl_->loop.watch(impl_->epoll_fd, {true, false}, [self = impl_.get()](readiness) { self->run(); });
+    return bound_address(fd);
+}
+
+std::uint64_t http_server::rejected() const {
+    return impl_->rejected;
+}
+
+std::size_t http_server::open_requests() const {
+    return impl_->exchanges.size();
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/socket_address.hpp
@@ -0,0 +1,21 @@
+// IP addresses as "ip:port" texts, and the sockets that are opened by them.
+#pragma once
+
+#include <string>
+
+namespace skylarkseam {
+
+/// Opens a non-blocking listening socket on ip:port; throws std::runtime_error that names the address and the
+/// fault.
+[[nodiscard]] int open_listener(const std::string& address);
+
+/// Starts a non-blocking connection to ip:port; -1 where it fails at once.
+[[nodiscard]] int start_connection(const std::string& address);
+
+/// Sends small writes at once (TCP_NODELAY).
+void disable_send_delay(int fd);
+
+/// The local address of a socket.
+[[nodiscard]] std::string bound_address(int fd);
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/wire/peer_codec.cpp
@@ -0,0 +1,282 @@
+#include <skylarkseam/wire/peer_codec.hpp>
+
+#include <msgpack.hpp>
+
+#include <chrono>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::uint32_t codec_version = 1;
+constexpr std::size_t max_elements = 1U << 20U;
+constexpr std::size_t max_depth = 16;
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+/// Limits on what one message may claim to hold, so that a short one cannot ask for much memory.
+msgpack::unpack_limit decode_limits() {
+    return {max_elements, max_elements, 1U << 26U, 1U << 26U, 0, max_depth};
+}
+
+template <typename Write>
+std::string packed(std::uint32_t fields, Write write) {
+    msgpack::sbuffer buf;
+    packer pack(buf);
+    pack.pack_array(fields + 1);
+    pack.pack(codec_version);
+    write(pack);
+    return {buf.data(), buf.size()};
+}
+
+void pack_snapshots(packer& pack, const std::vector<snapshot_id>& snapshots) {
+    pack.pack(snapshots);
+}
+
+/// Reads the elements of one array in order; a missing one or one of another type throws msgpack::type_error.
+class field_reader {
+public:
+    field_reader(const msgpack::object& from, std::uint32_t fields) {
+        if (from.type != msgpack::type::ARRAY || from.via.array.size != fields) {
+            throw msgpack::type_error();
+        }
+        at_ = from.via.array.ptr;
+    }
+
+    template <typename T>
+    T next() {
+        return (at_++)->as<T>();
+    }
+
+    const msgpack::object& next_object() { return *at_++; }
+
+    duration next_duration() { return duration(next<std::int64_t>()); }
+
+    template <typename Enum>
+    Enum next_enum(Enum last) {
+        const auto value = next<std::uint32_t>();
+        if (value > static_cast<std::uint32_t>(last)) {
+            throw msgpack::type_error();
+        }
+        return static_cast<Enum>(value);
+    }
+
+private:
+    const msgpack::object* at_ = nullptr;
+};
+
+template <typename T, typename Read>
+result<T> unpacked(std::string_view bytes, std::uint32_t fields, Read read) {
+    try {
+        const auto by_reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        const auto handle =
+            msgpack::unpack(bytes.data(), bytes.size(), by_reference, nullptr, decode_limits());
+        field_reader reader(handle.get(), fields + 1);
+        if (reader.next<std::uint32_t>() != codec_version) {
+            return make_error(error_kind::protocol_violation, "a message of another version");
+        }
+        return read(reader);
+    } catch (const std::exception& ec) {
+        return make_error(error_kind::protocol_violation,
+                          std::string("a message of the wrong form: ") + ec.what());
+    }
+}
+
+const msgpack::object_array& array_of(const msgpack::object& from) {
+    if (from.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    return from.via.array;
+}
+
+template <typename Read>
+auto read_list(const msgpack::object& from, std::uint32_t fields, Read read) {
+    const auto& list = array_of(from);
+    field_reader* none = nullptr;
+    std::vector<decltype(read(*none))> out;
+    out.reserve(list.size);
+    for (std::uint32_t it = 0; it < list.size; ++it) {
+        field_reader reader(list.ptr[it], fields);
+        out.push_back(read(reader));
+    }
+    return out;
+}
+
+constexpr std::uint32_t subquery_fields = 4;
+constexpr std::uint32_t hit_fields = 3;
+constexpr std::uint32_t held_fields = 2;
+
+void pack_subquery(packer& pack, const subquery& it) {
+    pack.pack_array(subquery_fields);
+    pack.pack(it.shard);
+    pack.pack(it.attempt);
+    pack.pack(it.searcher);
+    pack.pack(it.extra);
+}
+
+subquery read_subquery(field_reader& from) {
+    subquery it;
+    it.shard = from.next<shard_id>();
+    it.attempt = from.next<std::uint32_t>();
+    it.searcher = from.next<std::string>();
+    it.extra = from.next<bool>();
+    return it;
+}
+
+hit read_hit(field_reader& from) {
+    hit it;
+    it.id = from.next<std::string>();
+    it.score = from.next<double>();
+    it.json = from.next<std::string>();
+    return it;
+}
+
+constexpr std::uint32_t status_fields = 6;
+
+void pack_status(packer& pack, const searcher_status& it) {
+    pack.pack_array(status_fields);
+    pack.pack(it.searcher);
+    pack.pack(it.takes_work);
+    pack.pack(it.slots);
+    pack.pack(it.in_flight);
+    pack.pack(it.queued);
+    pack.pack_array(static_cast<std::uint32_t>(it.shards.size()));
+    for (const auto& held : it.shards) {
+        pack.pack_array(held_fields);
+        pack.pack(held.shard);
+        pack_snapshots(pack, held.snapshots);
+    }
+}
+
+searcher_status read_status(field_reader& from) {
+    searcher_status it;
+    it.searcher = from.next<std::string>();
+    it.takes_work = from.next<bool>();
+    it.slots = from.next<std::uint32_t>();
+    it.in_flight = from.next<std::uint32_t>();
+    it.queued = from.next<std::uint32_t>();
+    it.shards = read_list(from.next_object(), held_fields, [](field_reader& held) {
+        searcher_status::held_shard shard;
+        shard.shard = held.next<shard_id>();
+        shard.snapshots = held.next<std::vector<snapshot_id>>();
+        return shard;
+    });
+    return it;
+}
+
+constexpr std::uint32_t batch_fields = 11;
+constexpr std::uint32_t cancel_fields = 3;
+constexpr std::uint32_t reply_fields = 11;
+
+} // namespace
+
+std::string encode(const subquery_batch& batch) {
+    return packed(batch_fields, [&](packer& pack) {
+        pack.pack(batch.query);
+        pack.pack(batch.coordinator);
+        pack.pack(batch.caller);
+        pack.pack(batch.group);
+        pack.pack(static_cast<std::uint32_t>(batch.cls));
+        pack.pack(batch.snapshot);
+        pack.pack(batch.remaining.count());
+        pack.pack(batch.query_json);
+        pack.pack(batch.limit);
+        pack.pack(batch.idempotency_key);
+        pack.pack_array(static_cast<std::uint32_t>(batch.subqueries.size()));
+        for (const auto& it : batch.subqueries) {
+            pack_subquery(pack, it);
+        }
+    });
+}
+
+result<subquery_batch> decode_subquery_batch(std::string_view bytes) {
+    return unpacked<subquery_batch>(bytes, batch_fields, [](field_reader& from) {
+        subquery_batch batch;
+        batch.query = from.next<query_id>();
+        batch.coordinator = from.next<std::string>();
+        batch.caller = from.next<std::string>();
+        batch.group = from.next<std::string>();
+        batch.cls = from.next_enum(request_class::deferrable);
+        batch.snapshot = from.next<snapshot_id>();
+        batch.remaining = from.next_duration();
+        batch.query_json = from.next<std::string>();
+        batch.limit = from.next<std::uint32_t>();
+        batch.idempotency_key = from.next<std::string>();
+        batch.subqueries = read_list(from.next_object(), subquery_fields, read_subquery);
+        return batch;
+    });
+}
+
+std::string encode(const subquery_cancel& cancel) {
+    return packed(cancel_fields, [&](packer& pack) {
+        pack.pack(cancel.query);
+        pack.pack(cancel.attempts);
+        pack.pack(cancel.coordinator);
+    });
+}
+
+result<subquery_cancel> decode_subquery_cancel(std::string_view bytes) {
+    return unpacked<subquery_cancel>(bytes, cancel_fields, [](field_reader& from) {
+        subquery_cancel cancel;
+        cancel.query = from.next<query_id>();
+        cancel.attempts = from.next<std::vector<std::uint32_t>>();
+        cancel.coordinator = from.next<std::string>();
+        return cancel;
+    });
+}
+
+std::string encode(const subquery_reply& reply) {
+    return packed(reply_fields, [&](packer& pack) {
+        pack.pack(reply.query);
+        pack.pack(reply.attempt);
+        pack.pack(reply.shard);
+        pack.pack(reply.snapshot);
+        pack.pack(static_cast<std::uint32_t>(reply.outcome));
+        pack.pack(reply.dispatch_sequence);
+        pack.pack(reply.queued.count());
+        pack.pack(reply.service.count());
+        pack_snapshots(pack, reply.held);
+        pack.pack_array(static_cast<std::uint32_t>(reply.hits.size()));
+        for (const auto& it : reply.hits) {
+            pack.pack_array(hit_fields);
+            pack.pack(it.id);
+            pack.pack(it.score);
+            pack.pack(it.json);
+        }
+        pack.pack(reply.detail);
+    });
+}
+
+result<subquery_reply> decode_subquery_reply(std::string_view bytes) {
+    return unpacked<subquery_reply>(bytes, reply_fields, [](field_reader& from) {
+        subquery_reply reply;
+        reply.query = from.next<query_id>();
+        reply.attempt = from.next<std::uint32_t>();
+        reply.shard = from.next<shard_id>();
+        reply.snapshot = from.next<snapshot_id>();
+        reply.outcome = from.next_enum(subquery_outcome::cancelled);
+        reply.dispatch_sequence = from.next<std::uint64_t>();
+        reply.queued = from.next_duration();
+        reply.service = from.next_duration();
+        reply.held = from.next<std::vector<snapshot_id>>();
+        reply.hits = read_list(from.next_object(), hit_fields, read_hit);
+        reply.detail = from.next<std::string>();
+        return reply;
+    });
+}
+
+std::string encode(const std::vector<searcher_status>& status) {
+    return packed(1, [&](packer& pack) {
+        pack.pack_array(static_cast<std::uint32_t>(status.size()));
+        for (const auto& it : status) {
+            pack_status(pack, it);
+        }
+    });
+}
+
+result<std::vector<searcher_status>> decode_searcher_status(std::string_view bytes) {
+    return unpacked<std::vector<searcher_status>>(bytes, 1, [](field_reader& from) {
+        return read_list(from.next_object(), status_fields, read_status);
+    });
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/wire/upstream_json.cpp
@@ -0,0 +1,70 @@
+#include <skylarkseam/wire/upstream_json.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkseam {
+namespace {
+
+using nlohmann::json;
+
+hit read_hit(const json& from) {
+    hit it;
+    it.id = from.at("id").get<std::string>();
+    it.score = from.at("score").get<double>();
+    it.json = from.dump();
+    return it;
+}
+
+error wrong_form(const char* what) {
+    return make_error(error_kind::upstream_failed,
+                      std::string("the searcher's answer has the wrong form: ") + what);
+}
+
+} // namespace
+
+std::string encode_search_body(const std::string& query_json, std::uint32_t limit) {
+    return R"({"query":)" + query_json + R"(,"limit":)" + std::to_string(limit) + "}";
+}
+
+result<void> decode_search_answer(const std::string& body, upstream_answer& answer) {
+    try {
+        const auto from = json::parse(body);
+        answer.request_id = from.at("request_id").get<std::string>();
+        answer.shard = from.at("shard").get<shard_id>();
+        answer.snapshot = from.at("snapshot").get<snapshot_id>();
+        answer.hits.clear();
+        for (const auto& it : from.at("hits")) {
+            answer.hits.push_back(read_hit(it));
+        }
+        return success();
+    } catch (const std::exception& ec) {
+        answer.hits.clear();
+        return wrong_form(ec.what());
+    }
+}
+
+result<upstream_health> decode_health(const std::string& body) {
+    try {
+        const auto from = json::parse(body);
+        upstream_health health;
+        health.reachable = true;
+        health.state =
+            find_upstream_state(from.at("state").get<std::string>()).value_or(upstream_state::cold);
+        health.boot_id = from.at("boot_id").get<std::string>();
+        for (const auto& it : from.at("shards")) {
+            searcher_status::held_shard held;
+            held.shard = it.at("shard").get<shard_id>();
+            held.snapshots = it.at("snapshots").get<std::vector<snapshot_id>>();
+            std::sort(held.snapshots.begin(), held.snapshots.end());
+            health.shards.push_back(std::move(held));
+        }
+        return health;
+    } catch (const std::exception& ec) {
+        return wrong_form(ec.what());
+    }
+}
+
+} // namespace skylarkseam
