Test the shell's transports against each other and against peers that misbehave

Cause: the transports carry everything else, and their failure reports decide whether a request may be sent again. A request sent to an upstream that hangs up is seen there once.

--- a/src/skylarkseam/core/error.hpp
+++ b/src/skylarkseam/core/error.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/outcome/result.hpp>
+#include <boost/outcome/try.hpp>
 
 #include <string>
 #include <string_view>
--- a/src/skylarkseam/shell/admin_service.cpp
+++ b/src/skylarkseam/shell/admin_service.cpp
@@ -3,8 +3,8 @@
 
 namespace skylarkseam {
 
-admin_service::admin_service(event_loop& loop, http_limits limits, metrics& measured, std::function<void()> refresh,
-                             std::function<std::optional<error>()> unfit)
+admin_service::admin_service(event_loop& loop, http_limits limits, metrics& measured,
+                             std::function<void()> refresh, std::function<std::optional<error>()> unfit)
     : measured_(measured)
     , refresh_(std::move(refresh))
     , unfit_(std::move(unfit))
@@ -38,7 +38,8 @@
         answer({200, measured_.prometheus_text(), "text/plain; version=0.0.4", {}});
     } else if (request.method == "GET" && request.path == "/healthz") {
         const auto fault = unfit_();
-        answer(fault ? error_response(*fault) : outgoing_response{200, R"({"status":"ok"})", "application/json", {}});
+        answer(fault ? error_response(*fault)
+                     : outgoing_response{200, R"({"status":"ok"})", "application/json", {}});
     } else {
         answer(error_response(make_error(error_kind::not_found, "no such path: " + request.path)));
     }
--- a/src/skylarkseam/shell/caller_service.cpp
+++ b/src/skylarkseam/shell/caller_service.cpp
@@ -8,7 +8,9 @@
 constexpr std::size_t max_name_bytes = 256;
 constexpr std::int64_t max_deadline_ms = 600'000;
 
-error bad(const std::string& what) { return make_error(error_kind::bad_request, what); }
+error bad(const std::string& what) {
+    return make_error(error_kind::bad_request, what);
+}
 
 result<std::string> read_name(const incoming_request& request, const std::string& header, const char* shown) {
     auto value = request.header(header);
@@ -51,9 +53,9 @@
                                  const caller_limits& limits) {
     query_request query;
     query.service = service;
-    BOOST_OUTCOME_TRY(auto caller, read_name(request, "x-caller", "X-Caller"));
+    BOOST_OUTCOME_TRY(caller, read_name(request, "x-caller", "X-Caller"));
     query.caller = std::move(caller);
-    BOOST_OUTCOME_TRY(auto id, read_name(request, "x-request-id", "X-Request-Id"));
+    BOOST_OUTCOME_TRY(id, read_name(request, "x-request-id", "X-Request-Id"));
     query.request_id = std::move(id);
     BOOST_OUTCOME_TRYV(read_deadline(request, query));
     BOOST_OUTCOME_TRYV(read_class(request, query));
@@ -65,7 +67,9 @@
     return query;
 }
 
-std::string service_label(const std::string& service) { return "service=\"" + service + "\""; }
+std::string service_label(const std::string& service) {
+    return "service=\"" + service + "\"";
+}
 
 } // namespace
 
@@ -80,8 +84,8 @@
     return response;
 }
 
-caller_service::caller_service(event_loop& loop, http_limits limits, caller_limits query_limits, metrics& measured,
-                               caller_handlers handlers)
+caller_service::caller_service(event_loop& loop, http_limits limits, caller_limits query_limits,
+                               metrics& measured, caller_handlers handlers)
     : loop_(loop)
     , query_limits_(query_limits)
     , measured_(measured)
@@ -93,7 +97,8 @@
     const auto parts = request.segments();
     if (request.method == "GET" && request.path == "/healthz") {
         const auto fault = handlers_.unfit();
-        answer(fault ? error_response(*fault) : outgoing_response{200, R"({"status":"ok"})", "application/json", {}});
+        answer(fault ? error_response(*fault)
+                     : outgoing_response{200, R"({"status":"ok"})", "application/json", {}});
         return;
     }
     if (parts.size() == 4 && parts[0] == "v1" && parts[1] == "services" && parts[3] == "query") {
@@ -108,10 +113,12 @@
         handle_job(parts[2], answer);
         return;
     }
-    answer(error_response(make_error(error_kind::not_found, "no such path: " + request.method + " " + request.path)));
+    answer(error_response(
+        make_error(error_kind::not_found, "no such path: " + request.method + " " + request.path)));
 }
 
-void caller_service::handle_query(const incoming_request& request, const std::string& service, const respond& answer) {
+void caller_service::handle_query(const incoming_request& request, const std::string& service,
+                                  const respond& answer) {
     const auto began = loop_.now();
     if (auto fault = handlers_.refuse()) {
         finish_query(request.header("x-request-id"), service, began, {std::move(*fault)}, answer);
@@ -142,18 +149,23 @@
         return;
     }
     if (!outcome.answer) {
-        measured_.count("answers", label + ",outcome=\"" + std::string(name_of(outcome.answer.error().kind)) + "\"");
+        measured_.count("answers",
+                        label + ",outcome=\"" + std::string(name_of(outcome.answer.error().kind)) + "\"");
         answer(error_response(outcome.answer.error()));
         return;
     }
     const bool whole = outcome.answer.value().covered.missing.empty();
     measured_.count("answers", label + (whole ? ",outcome=\"whole\"" : ",outcome=\"partial\""));
-    answer({200, encode_answer(request_id, outcome.answer.value(), outcome.receipt_json), "application/json", {}});
+    answer({200,
+            encode_answer(request_id, outcome.answer.value(), outcome.receipt_json),
+            "application/json",
+            {}});
 }
 
 void caller_service::handle_job(const std::string& job, const respond& answer) {
     handlers_.on_job(job, [answer](const result<std::string>& body) {
-        answer(body ? outgoing_response{200, body.value(), "application/json", {}} : error_response(body.error()));
+        answer(body ? outgoing_response{200, body.value(), "application/json", {}}
+                    : error_response(body.error()));
     });
 }
 
--- a/src/skylarkseam/shell/caller_service.hpp
+++ b/src/skylarkseam/shell/caller_service.hpp
@@ -16,8 +16,8 @@
 /// How the rest of the node answers a request that the callers' port has read.
 struct request_outcome {
     result<query_answer> answer;
-    std::string receipt_json = "{}";
-    std::string job; ///< not empty: the request was stored as this job, and the answer is 202
+    std::string receipt_json = "{}"; ///< a JSON object
+    std::string job{};               ///< not empty: the request was stored as this job, and the answer is 202
 };
 
 /// What the callers' port asks of the rest of the node.
--- a/src/skylarkseam/shell/peer_directory.cpp
+++ b/src/skylarkseam/shell/peer_directory.cpp
@@ -41,11 +41,12 @@
     , self_(std::move(self))
     , seeds_(std::move(seeds))
     , on_change_(std::move(on_change)) {
-    server.serve("introduce", [this](const std::string& body, const std::shared_ptr<peer_responder>& responder) {
-        learn(body);
-        responder->send(introduction());
-        responder->finish();
-    });
+    server.serve("introduce",
+                 [this](const std::string& body, const std::shared_ptr<peer_responder>& responder) {
+                     learn(body);
+                     responder->send(introduction());
+                     responder->finish();
+                 });
     loop_.post([this] { ask_all(); });
 }
 
@@ -69,7 +70,8 @@
         }
         for (const auto& it : from.at("others")) {
             const auto address = it.get<std::string>();
-            if (address != self_.peer_address && std::find(seeds_.begin(), seeds_.end(), address) == seeds_.end()) {
+            if (address != self_.peer_address &&
+                std::find(seeds_.begin(), seeds_.end(), address) == seeds_.end()) {
                 seeds_.push_back(address);
             }
         }
@@ -99,6 +101,7 @@
         all[name] = it.who;
     }
     std::vector<member> members;
+    members.reserve(all.size());
     for (const auto& [name, it] : all) {
         members.push_back(it);
     }
--- a/src/skylarkseam/shell/peer_link.cpp
+++ b/src/skylarkseam/shell/peer_link.cpp
@@ -19,7 +19,7 @@
                     std::uint32_t* flags, nghttp2_data_source* source, void*) {
     auto* const output = static_cast<stream_output*>(source->ptr);
     const auto n = std::min(length, output->bytes.size() - output->taken);
-    std::memcpy(buf, output->bytes.data() + output->taken, n);
+    std::copy_n(output->bytes.data() + output->taken, n, buf);
     output->taken += n;
     if (output->taken == output->bytes.size()) {
         output->bytes.clear();
--- a/src/skylarkseam/shell/query_runner.cpp
+++ b/src/skylarkseam/shell/query_runner.cpp
@@ -9,7 +9,7 @@
 } // namespace
 
 query_runner::query_runner(event_loop& loop, peer_client& peers, owner_runner& local, metrics& measured,
-                           std::string node, std::string incarnation, std::uint64_t seed)
+                           std::string node, const std::string& incarnation, std::uint64_t seed)
     : loop_(loop)
     , peers_(peers)
     , local_(local)
--- a/src/skylarkseam/shell/query_runner.hpp
+++ b/src/skylarkseam/shell/query_runner.hpp
@@ -20,7 +20,7 @@
     using answer_sink = std::function<void(result<query_answer> answer)>;
 
     query_runner(event_loop& loop, peer_client& peers, owner_runner& local, metrics& measured,
-                 std::string node, std::string incarnation, std::uint64_t seed);
+                 std::string node, const std::string& incarnation, std::uint64_t seed);
 
     /// Starts a query; `on_answer` is called exactly once, unless the query is abandoned.
     query_id start(query_request request, answer_sink on_answer);
--- a/src/skylarkseam/shell/state_json.cpp
+++ b/src/skylarkseam/shell/state_json.cpp
@@ -21,10 +21,8 @@
 
 std::string state_json(const configuration& config) {
     const json out{
-        {"generation", config.generation},
-        {"availability_zones", config.zones.size()},
-        {"upstream_groups", config.groups.size()},
-        {"services", config.services.size()},
+        {"generation", config.generation},         {"availability_zones", config.zones.size()},
+        {"upstream_groups", config.groups.size()}, {"services", config.services.size()},
         {"sharing_rules", config.rules.size()},
     };
     return out.dump();
--- /dev/null
+++ b/tests/shell/http_test.cpp
@@ -0,0 +1,177 @@
+// HTTP by the loop: the server and the client against each other, and the server against clients that
+// misbehave.
+#include <skylarkseam/shell/http_client.hpp>
+#include <skylarkseam/shell/http_server.hpp>
+#include <skylarkseam/shell/socket_address.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <sys/socket.h>
+#include <tests/shell/loop_fixture.hpp>
+#include <unistd.h>
+
+using namespace skylarkseam;
+
+namespace {
+
+struct http_fixture : loop_fixture {
+    http_limits limits{64, 4096, 64, 4};
+    std::map<std::string, respond> held; ///< requests to /held, answered by the test
+    http_server server{
+        loop, limits, [this](const incoming_request& request, const respond& answer) {
+            if (request.path == "/held") {
+                held[request.argument("name")] = answer;
+                return;
+            }
+            answer({200, request.method + request.body + request.header("x-caller"), "text/plain", {}});
+        }};
+    std::string address = server.listen("127.0.0.1:0");
+    http_client client{loop};
+
+    http_response fetch(http_request request) {
+        http_response response;
+        bool done = false;
+        request.url = "http://" + address + request.url;
+        client.send(std::move(request), [&](http_response it) {
+            response = std::move(it);
+            done = true;
+        });
+        BOOST_REQUIRE(run_until([&] { return done; }));
+        return response;
+    }
+
+    [[nodiscard]] http_request get_held(const std::string& name) const {
+        http_request request;
+        request.url = "http://" + address + "/held?name=" + name;
+        return request;
+    }
+
+    http_request post(const std::string& body) {
+        http_request request;
+        request.method = "POST";
+        request.url = "/echo";
+        request.headers = {"X-Caller: partner"};
+        request.body = body;
+        return request;
+    }
+};
+
+/// Listens, takes one request on each connection, and hangs up without an answer.
+struct hanging_up_upstream {
+    explicit hanging_up_upstream(event_loop& loop)
+        : fd(open_listener("127.0.0.1:0")) {
+        loop.watch(fd, {true, false}, [this, &loop](readiness) {
+            const int accepted = ::accept(fd, nullptr, nullptr);
+            ++connections;
+            loop.watch(accepted, {true, false}, [accepted, this, &loop](readiness) {
+                std::array<char, 4096> buf{};
+                requests += ::recv(accepted, buf.data(), buf.size(), 0) > 0 ? 1 : 0;
+                loop.unwatch(accepted);
+                ::close(accepted);
+            });
+        });
+    }
+
+    int fd;
+    int connections = 0;
+    int requests = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http, http_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_is_answered_with_its_own_body_and_headers) {
+    const auto response = fetch(post("hello"));
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "POSThellopartner");
+    BOOST_TEST(response.header("content-type") == "text/plain");
+}
+
+BOOST_AUTO_TEST_CASE(answers_may_come_later_and_in_another_order) {
+    std::map<std::string, std::string> got;
+    for (const std::string name : {"a", "b", "c"}) {
+        client.send(get_held(name), [&got, name](const http_response& it) { got[name] = it.body; });
+    }
+    BOOST_REQUIRE(run_until([&] { return held.size() == 3; }));
+    for (const std::string name : {"c", "a", "b"}) {
+        held[name]({200, "for " + name, "text/plain", {}});
+    }
+    BOOST_REQUIRE(run_until([&] { return got.size() == 3; }));
+    BOOST_TEST(got["a"] == "for a");
+    BOOST_TEST(got["b"] == "for b");
+    BOOST_TEST(got["c"] == "for c");
+}
+
+BOOST_AUTO_TEST_SUITE(limits_of_the_server)
+
+BOOST_AUTO_TEST_CASE(a_body_over_the_limit_is_refused_and_counted_and_the_next_request_is_served) {
+    BOOST_TEST(fetch(post(std::string(65, 'x'))).status == 413);
+    BOOST_TEST(server.rejected() == 1U);
+    BOOST_TEST(fetch(post("x")).status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(headers_over_the_limit_are_refused) {
+    auto request = post("x");
+    request.headers.push_back("X-Long: " + std::string(8192, 'x'));
+    BOOST_TEST(fetch(std::move(request)).status >= 400);
+}
+
+BOOST_AUTO_TEST_CASE(beyond_the_open_requests_a_request_is_refused_as_not_run) {
+    for (int it = 0; it < 4; ++it) {
+        client.send(get_held(std::to_string(it)), [](const http_response&) {});
+    }
+    BOOST_REQUIRE(run_until([&] { return held.size() == 4; }));
+    const auto refused = fetch(post("x"));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.body.find("\"ran\":\"no\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_a_client_that_has_gone_is_dropped) {
+    const auto id = client.send(get_held("gone"), [](const http_response&) {});
+    BOOST_REQUIRE(run_until([&] { return held.count("gone") == 1; }));
+    client.abort(id);
+    run_turns(5);
+    held["gone"]({200, "late", "text/plain", {}});
+    run_turns(5);
+    BOOST_TEST(fetch(post("x")).status == 200);
+    BOOST_TEST(server.open_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(what_the_client_tells_of_a_failure)
+
+BOOST_AUTO_TEST_CASE(nothing_was_sent_where_nobody_listens) {
+    const int fd = open_listener("127.0.0.1:0");
+    address = bound_address(fd);
+    ::close(fd);
+    const auto response = fetch(post("x"));
+    BOOST_TEST(response.status == 0);
+    BOOST_TEST(!response.sent);
+    BOOST_TEST(!response.detail.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_an_answer_may_have_run) {
+    hanging_up_upstream upstream(loop);
+    address = bound_address(upstream.fd);
+    const auto response = fetch(post("x"));
+    BOOST_TEST(response.status == 0);
+    BOOST_TEST(response.sent);
+    BOOST_TEST(response.reset);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_must_not_run_twice_is_sent_once) {
+    hanging_up_upstream upstream(loop);
+    address = bound_address(upstream.fd);
+    auto request = post("x");
+    request.never_resend = true;
+    BOOST_TEST(fetch(std::move(request)).status == 0);
+    run_turns(20);
+    BOOST_TEST(upstream.requests == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/caller_json_test.cpp
+++ b/tests/wire/caller_json_test.cpp
@@ -39,9 +39,10 @@
     answer.snapshot = 7;
     answer.covered = {3, 4, {2}};
     answer.hits = {{"a", 2.0, R"({"id":"a","score":2.0})"}, {"b", 1.0, R"({"id":"b","score":1.0})"}};
-    BOOST_TEST(encode_answer("r\"1", answer, "{}") ==
-               R"({"request_id":"r\"1","snapshot":7,"coverage":{"fraction":0.75,"searched":3,"total":4,"missing":[2]},)"
-               R"("hits":[{"id":"a","score":2.0},{"id":"b","score":1.0}],"receipt":{}})");
+    BOOST_TEST(
+        encode_answer("r\"1", answer, "{}") ==
+        R"({"request_id":"r\"1","snapshot":7,"coverage":{"fraction":0.75,"searched":3,"total":4,"missing":[2]},)"
+        R"("hits":[{"id":"a","score":2.0},{"id":"b","score":1.0}],"receipt":{}})");
 }
 
 BOOST_AUTO_TEST_CASE(an_error_says_whether_the_request_ran) {
