--- /dev/null
+++ b/src/skylarkseam/control/content_hash.hpp
@@ -0,0 +1,12 @@
+// Names of contents: 128 bits of xxhash, in hexadecimal.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace skylarkseam {
+
+/// 32 lower-case hexadecimal digits.
+[[nodiscard]] std::string content_hash(std::string_view text);
+
+} // namespace skylarkseam
