Add the coordinator's and the owner's decisions, thin

Existing names of the headers stay; upstream_answer gains 'completed': a failed answer without it keeps its slot until the deadline.

--- a/src/skylarkseam/core/owner.hpp
+++ b/src/skylarkseam/core/owner.hpp
@@ -25,6 +25,8 @@
     subquery_outcome outcome = subquery_outcome::failed;
     bool bytes_sent = true; ///< false: the connection failed before any byte of the request was sent
     bool connection_reset = false;
+    bool completed = false;   ///< a failed one: the searcher ended its answer, though it cannot be used;
+                              ///< false: it may still be running the request, so its slot stays taken
     std::string request_id;   ///< echoed by the searcher
     shard_id shard = 0;       ///< echoed by the searcher
     snapshot_id snapshot = 0; ///< echoed by the searcher
--- a/src/skylarkseam/core/query.hpp
+++ b/src/skylarkseam/core/query.hpp
@@ -50,4 +50,7 @@
     std::uint32_t extra_attempts = 0;
 };
 
+/// The result that stands for an error.
+[[nodiscard]] result<query_answer> refused(error reason);
+
 } // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/core/query_run.cpp
@@ -0,0 +1,495 @@
+#include <skylarkseam/core/query_run.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+constexpr duration longest_answer_reserve = milliseconds(2); ///< for writing the answer
+constexpr duration longest_hop_reserve = milliseconds(3);    ///< for an owner's reply to arrive
+constexpr int smallest_part = 10; ///< a reserve takes at most a tenth of the deadline
+constexpr duration status_wait = milliseconds(50);
+constexpr std::uint8_t most_attempts_per_shard = 4;
+constexpr std::uint32_t most_replans = 2;
+constexpr duration refused_pause = milliseconds(50); ///< a replica that refused is not preferred for so long
+constexpr duration lost_pause = milliseconds(200);   ///< nor one that failed
+
+} // namespace
+
+query_run::query_run(query_id id, query_request request, const service& settings,
+                     std::shared_ptr<group_state> group, time_point arrived)
+    : id_(id)
+    , request_(std::move(request))
+    , group_(std::move(group))
+    , minimum_coverage_(settings.minimum_coverage)
+    , budget_percent_(settings.hedge_budget_percent)
+    , cls_(request_.cls.value_or(settings.cls))
+    , arrived_(arrived)
+    , hits_(request_.limit) {
+    const auto total = std::min(request_.deadline.value_or(settings.deadline), settings.deadline);
+    answer_at_ = arrived + total - std::min(longest_answer_reserve, total / smallest_part);
+    hop_reserve_ = std::min(longest_hop_reserve, total / smallest_part);
+}
+
+void query_run::start(run_context& context) {
+    if (!group_->any_owner()) {
+        answer(context,
+               refused(make_error(error_kind::no_owner, "no node owns a searcher of " + group_->name())));
+        return;
+    }
+    lost_until_ = context.now + status_wait;
+    const bool known = group_->every_shard_known() || group_->asked_long_ago(context.now);
+    if (known && group_->choose_snapshot(context.now).snapshot != 0) {
+        plan(context);
+    } else {
+        wait_for_knowledge(context);
+    }
+    if (group_->refresh_due(context.now)) {
+        ask_owners(context);
+    }
+}
+
+void query_run::ask_owners(run_context& context) {
+    for (const auto owner : group_->owners_to_ask(false)) {
+        context.services.request_status(owner, group_->name(), context.now, context.out);
+    }
+}
+
+void query_run::wait_for_knowledge(run_context& context) {
+    for (const auto owner : group_->owners_to_ask(true)) {
+        context.services.request_status(owner, group_->name(), context.now, context.out);
+    }
+    next_check_ = std::min(answer_at_, context.now + status_wait);
+}
+
+void query_run::plan(run_context& context) {
+    phase_ = phase::running;
+    snapshot_ = group_->choose_snapshot(context.now).snapshot;
+    const auto count = group_->map().shards.size();
+    shards_.assign(count, {});
+    attempts_.reserve(attempts_.size() + count);
+    plan_start_ = static_cast<std::uint32_t>(attempts_.size());
+    merged_ = 0;
+    given_up_ = 0;
+    lost_ = 0;
+    hits_ = top_hits(request_.limit);
+    dispatches_.clear();
+    for (std::uint32_t n = 0; n < count; ++n) {
+        if (!send(n, attempt_kind::first, context)) {
+            mark_unanswerable(n, context);
+        }
+    }
+    settle(context);
+}
+
+bool query_run::send(std::uint32_t shard, attempt_kind kind, run_context& context) {
+    auto& progress = shards_[shard];
+    if (progress.attempts >= most_attempts_per_shard) {
+        return false;
+    }
+    tried_.clear();
+    for (auto n = progress.last_attempt; n != none; n = attempts_[n].previous) {
+        tried_.push_back(attempts_[n].copy.searcher);
+    }
+    auto& services = context.services;
+    const auto& mapped = group_->map().shards[shard];
+    const auto copy =
+        services.replicas.pick(*group_, services.owners, mapped, snapshot_, tried_, context.now);
+    if (!copy) {
+        return false;
+    }
+    const bool extra = kind == attempt_kind::extra;
+    if (extra && !group_->load().budget.try_spend()) {
+        return false;
+    }
+    auto& replica = group_->replica(copy->searcher);
+    const auto number = static_cast<std::uint32_t>(attempts_.size());
+    attempts_.push_back({shard, *copy, replica.owner, progress.last_attempt, context.now, true, extra});
+    progress.last_attempt = number;
+    ++progress.attempts;
+    ++progress.open_attempts;
+    progress.hedge_at = context.now + current_hedge_delay(context.now);
+    replica.stats.on_sent();
+    ++maybe_run_;
+    auto& batch = services.batches.batch_for(replica.owner, services.owners.name(replica.owner),
+                                             [&](subquery_batch& it) { fill_header(it, context); });
+    batch.subqueries.push_back({mapped.shard, number, group_->map().searchers[copy->searcher].name, extra});
+    if (extra) {
+        ++extra_attempts_;
+    } else if (kind == attempt_kind::first) {
+        ++first_attempts_;
+        ++services.counters.first_attempts;
+        group_->load().budget.on_first_attempt(budget_percent_);
+    }
+    return true;
+}
+
+void query_run::fill_header(subquery_batch& batch, const run_context& context) const {
+    batch.query = id_;
+    batch.coordinator = context.services.self;
+    batch.caller = request_.caller;
+    batch.group = group_->name();
+    batch.cls = cls_;
+    batch.snapshot = snapshot_;
+    batch.remaining = std::max(duration::zero(), answer_at_ - context.now - hop_reserve_);
+    batch.query_json = request_.query_json;
+    batch.limit = request_.limit;
+}
+
+duration query_run::current_hedge_delay(time_point now) const {
+    constexpr int fallback_part = 4;
+    return group_->load().latency.delay(budget_percent_, (answer_at_ - now) / fallback_part);
+}
+
+void query_run::on_reply(std::uint32_t owner, subquery_reply& reply, run_context& context) {
+    auto* it = match(owner, reply);
+    if (it == nullptr) {
+        context.services.counters.replies_dropped += reply.outcome == subquery_outcome::cancelled ? 0 : 1;
+        return;
+    }
+    group_->learn_held(it->copy, reply.held);
+    switch (reply.outcome) {
+    case subquery_outcome::answered:
+        if (reply.snapshot == snapshot_ && well_formed(reply.hits)) {
+            merge(*it, reply, context);
+        } else {
+            ++context.services.counters.replies_dropped;
+            close(*it, context, false);
+            on_failed_attempt(*it, retry_price::paid, context);
+        }
+        break;
+    case subquery_outcome::not_run_refused:
+        close(*it, context, false);
+        --maybe_run_;
+        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        if (it->extra) {
+            group_->load().budget.give_back();
+        }
+        on_failed_attempt(*it, retry_price::free, context);
+        break;
+    case subquery_outcome::snapshot_not_held:
+    case subquery_outcome::shard_not_held:
+        close(*it, context, false);
+        --maybe_run_;
+        group_->forget_held(it->copy, reply.outcome == subquery_outcome::shard_not_held ? 0 : snapshot_);
+        on_failed_attempt(*it, retry_price::free, context);
+        break;
+    case subquery_outcome::not_run_shed:
+        close(*it, context, false);
+        --maybe_run_;
+        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        on_failed_attempt(*it, retry_price::paid, context);
+        break;
+    case subquery_outcome::failed:
+    case subquery_outcome::cancelled:
+        close(*it, context, false);
+        group_->replica(it->copy.searcher).stats.on_failure(context.now);
+        group_->avoid(it->copy.searcher, context.now + lost_pause);
+        on_failed_attempt(*it, retry_price::paid, context);
+        break;
+    }
+    settle(context);
+}
+
+query_run::attempt* query_run::match(std::uint32_t owner, const subquery_reply& reply) {
+    if (phase_ != phase::running || reply.attempt < plan_start_ || reply.attempt >= attempts_.size()) {
+        return nullptr;
+    }
+    auto& it = attempts_[reply.attempt];
+    const bool matches = it.open && it.owner == owner && group_->map().shards[it.shard].shard == reply.shard;
+    return matches ? &it : nullptr;
+}
+
+void query_run::merge(attempt& it, subquery_reply& reply, run_context& context) {
+    const auto latency = context.now - it.sent_at;
+    auto& stats = group_->replica(it.copy.searcher).stats;
+    stats.on_latency(latency, context.now);
+    stats.on_success();
+    group_->load().latency.add(latency);
+    close(it, context, false);
+    shards_[it.shard].phase = shard_phase::merged;
+    ++merged_;
+    hits_.merge(std::move(reply.hits));
+    dispatches_.push_back({context.services.owners.name(it.owner), reply.dispatch_sequence, reply.shard});
+    cancel_losers(it.shard, context);
+}
+
+/// \param slow  it was given up because another attempt was faster: what it took so far is a lower bound
+void query_run::close(attempt& it, run_context& context, bool slow) {
+    it.open = false;
+    --shards_[it.shard].open_attempts;
+    auto& stats = group_->replica(it.copy.searcher).stats;
+    stats.on_ended();
+    if (slow) {
+        const auto elapsed = context.now - it.sent_at;
+        stats.on_latency(elapsed, context.now);
+        group_->load().latency.add(elapsed);
+    }
+}
+
+void query_run::on_failed_attempt(attempt& it, retry_price price, run_context& context) {
+    const auto shard = it.shard; // `it` is invalid once another attempt was sent
+    auto& progress = shards_[shard];
+    if (progress.phase != shard_phase::open || progress.open_attempts > 0) {
+        return;
+    }
+    const bool paid = price == retry_price::paid;
+    if (send(shard, paid ? attempt_kind::extra : attempt_kind::replacement, context)) {
+        context.services.counters.retries += 1;
+        return;
+    }
+    const bool waits_for_budget = paid && budget_percent_ > 0.0 && group_->load().budget.tokens() < 1.0;
+    if (waits_for_budget && progress.attempts < most_attempts_per_shard) {
+        progress.hedge_at = context.now + current_hedge_delay(context.now);
+        return;
+    }
+    mark_unanswerable(shard, context);
+}
+
+/// No replica is left that is known to hold the snapshot: asks the owners again and waits a little for it.
+void query_run::mark_unanswerable(std::uint32_t shard, run_context& context) {
+    auto& progress = shards_[shard];
+    const auto& copies = group_->map().shards[shard].copies;
+    const bool held =
+        std::any_of(copies.begin(), copies.end(), [&](auto copy) { return group_->holds(copy, snapshot_); });
+    if (held) {
+        progress.phase = shard_phase::given_up;
+        ++given_up_;
+        return;
+    }
+    progress.phase = shard_phase::lost;
+    if (++lost_ == 1) {
+        lost_until_ = context.now + status_wait;
+    }
+    for (const auto copy : copies) {
+        if (group_->present(copy.searcher)) {
+            context.services.request_status(group_->replica(copy.searcher).owner, group_->name(), context.now,
+                                            context.out);
+        }
+    }
+}
+
+void query_run::on_batch_failed(std::uint32_t owner, const coordinator_event::batch_failed& event,
+                                run_context& context) {
+    for (const auto number : event.attempts) {
+        if (phase_ != phase::running || number < plan_start_ || number >= attempts_.size()) {
+            continue;
+        }
+        auto& it = attempts_[number];
+        if (!it.open || it.owner != owner) {
+            continue;
+        }
+        close(it, context, false);
+        if (!event.sent) {
+            --maybe_run_;
+            if (it.extra) {
+                group_->load().budget.give_back();
+            }
+        }
+        on_failed_attempt(it, event.sent ? retry_price::paid : retry_price::free, context);
+    }
+    settle(context);
+}
+
+void query_run::on_knowledge(run_context& context) {
+    if (phase_ == phase::waiting) {
+        if (group_->every_shard_known() && group_->choose_snapshot(context.now).snapshot != 0) {
+            plan(context);
+        }
+        return;
+    }
+    if (phase_ == phase::running && lost_ > 0) {
+        retry_lost(context);
+        settle(context);
+    }
+}
+
+void query_run::retry_lost(run_context& context) {
+    for (std::uint32_t n = 0; n < shards_.size() && lost_ > 0; ++n) {
+        if (shards_[n].phase == shard_phase::lost && send(n, attempt_kind::replacement, context)) {
+            shards_[n].phase = shard_phase::open;
+            --lost_;
+        }
+    }
+}
+
+void query_run::on_time(run_context& context) {
+    if (phase_ == phase::done) {
+        return;
+    }
+    if (context.now >= answer_at_) {
+        finish(context, true);
+        return;
+    }
+    if (phase_ == phase::waiting) {
+        if (context.now >= lost_until_ && group_->choose_snapshot(context.now).snapshot != 0) {
+            plan(context);
+        } else {
+            wait_for_knowledge(context);
+        }
+        return;
+    }
+    hedge_due(context);
+    settle(context);
+}
+
+void query_run::hedge_due(run_context& context) {
+    const auto delay = current_hedge_delay(context.now);
+    for (std::uint32_t n = 0; n < shards_.size(); ++n) {
+        auto& progress = shards_[n];
+        if (progress.phase != shard_phase::open || context.now < progress.hedge_at) {
+            continue;
+        }
+        const bool in_time = context.now + group_->load().usual() < answer_at_;
+        const bool first_open = progress.open_attempts > 0;
+        if (in_time && send(n, attempt_kind::extra, context)) {
+            auto& counters = context.services.counters;
+            ++(first_open ? counters.hedges : counters.retries);
+        } else {
+            progress.hedge_at = context.now + delay;
+        }
+    }
+}
+
+void query_run::cancel_losers(std::uint32_t shard, run_context& context) {
+    for (auto n = shards_[shard].last_attempt; n != none; n = attempts_[n].previous) {
+        auto& it = attempts_[n];
+        if (it.open) {
+            close(it, context, true);
+            context.out.emplace_back(
+                coordinator_action::send_cancel{context.services.owners.name(it.owner), {id_, {n}}});
+        }
+    }
+}
+
+void query_run::cancel_all(run_context& context) {
+    std::map<std::uint32_t, std::vector<std::uint32_t>> by_owner;
+    for (auto n = plan_start_; n < attempts_.size(); ++n) {
+        if (attempts_[n].open) {
+            close(attempts_[n], context, true);
+            by_owner[attempts_[n].owner].push_back(n);
+        }
+    }
+    for (auto& [owner, attempts] : by_owner) {
+        context.out.emplace_back(
+            coordinator_action::send_cancel{context.services.owners.name(owner), {id_, std::move(attempts)}});
+    }
+}
+
+/// Asks again for all shards, on a newer snapshot or under a newer shard map, if that covers more in time.
+bool query_run::replan(run_context& context) {
+    const auto& groups = context.services.groups;
+    const auto current = groups.find(group_->name());
+    if (current == groups.end() || replans_ >= most_replans ||
+        context.now + group_->load().latency.slow() >= answer_at_) {
+        return false;
+    }
+    const bool other_map = &current->second->map() != &group_->map();
+    const auto choice = current->second->choose_snapshot(context.now);
+    const auto total = static_cast<double>(shards_.size());
+    const auto now_reachable = (total - lost_ - given_up_) / total;
+    const auto then_reachable =
+        static_cast<double>(choice.covered) / static_cast<double>(current->second->map().shards.size());
+    if ((choice.snapshot <= snapshot_ && !other_map) || then_reachable <= now_reachable) {
+        return false;
+    }
+    cancel_all(context);
+    group_ = current->second;
+    ++replans_;
+    ++context.services.counters.replans;
+    plan(context);
+    return true;
+}
+
+/// Decides after each event whether the query has come to its end.
+void query_run::settle(run_context& context) {
+    if (phase_ != phase::running) {
+        return;
+    }
+    if (lost_ > 0 && replan(context)) {
+        return;
+    }
+    const auto total = static_cast<std::uint32_t>(shards_.size());
+    const bool waits_for_lost = lost_ > 0 && context.now < lost_until_;
+    const auto out_of_reach = given_up_ + (waits_for_lost ? 0 : lost_);
+    const auto reachable = static_cast<double>(total - out_of_reach) / static_cast<double>(total);
+    if (merged_ + out_of_reach == total || reachable < minimum_coverage_) {
+        finish(context, false);
+        return;
+    }
+    schedule(context.now);
+}
+
+void query_run::schedule(time_point now) {
+    next_check_ = answer_at_;
+    if (lost_ > 0 && now < lost_until_) {
+        next_check_ = std::min(next_check_, lost_until_);
+    }
+    if (budget_percent_ <= 0.0) {
+        return;
+    }
+    for (const auto& it : shards_) {
+        if (it.phase == shard_phase::open) {
+            next_check_ = std::min(next_check_, it.hedge_at);
+        }
+    }
+}
+
+void query_run::on_caller_left(run_context& context) {
+    cancel_all(context);
+    phase_ = phase::done;
+}
+
+void query_run::finish(run_context& context, bool at_deadline) {
+    cancel_all(context);
+    coverage covered;
+    covered.total = static_cast<std::uint32_t>(shards_.size());
+    covered.searched = merged_;
+    for (std::size_t n = 0; n < shards_.size(); ++n) {
+        if (shards_[n].phase != shard_phase::merged) {
+            covered.missing.push_back(group_->map().shards[n].shard);
+        }
+    }
+    if (merged_ == 0 || covered.fraction() < minimum_coverage_) {
+        answer(context, refused(failure(at_deadline)));
+        return;
+    }
+    query_answer value;
+    value.snapshot = snapshot_;
+    value.covered = std::move(covered);
+    value.hits = hits_.take();
+    value.dispatches = std::move(dispatches_);
+    value.first_attempts = first_attempts_;
+    value.extra_attempts = extra_attempts_;
+    answer(context, std::move(value));
+}
+
+error query_run::failure(bool at_deadline) const {
+    if (merged_ > 0) {
+        return make_error(error_kind::coverage_missed, "fewer shards answered than the service asks for");
+    }
+    if (phase_ == phase::waiting) {
+        return make_error(error_kind::snapshot_unavailable, "no snapshot of the group is known");
+    }
+    if (maybe_run_ == 0) {
+        const auto kind = lost_ > 0 ? error_kind::snapshot_unavailable : error_kind::overloaded;
+        return make_error(kind, "every attempt was refused before it ran");
+    }
+    const auto kind = at_deadline ? error_kind::deadline_exceeded : error_kind::upstream_failed;
+    return make_error(kind, "no shard answered");
+}
+
+void query_run::answer(run_context& context, result<query_answer> value) {
+    auto& counters = context.services.counters;
+    if (!value) {
+        ++counters.refused;
+    } else if (value.value().covered.missing.empty()) {
+        ++counters.answered_whole;
+    } else {
+        ++counters.answered_partial;
+    }
+    phase_ = phase::done;
+    context.out.emplace_back(coordinator_action::answer_query{id_, std::move(value)});
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/core/replica_choice.cpp
@@ -0,0 +1,38 @@
+#include <skylarkseam/core/replica_choice.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+
+std::optional<shard_copy> replica_choice::pick(const group_state& group, const owner_table& owners,
+                                               const mapped_shard& shard, snapshot_id snapshot,
+                                               std::span<const std::uint32_t> tried, time_point now) {
+    likely_.clear();
+    unlikely_.clear();
+    for (const auto copy : shard.copies) {
+        const bool again = std::find(tried.begin(), tried.end(), copy.searcher) != tried.end();
+        if (again || !group.present(copy.searcher) || !group.holds(copy, snapshot)) {
+            continue;
+        }
+        const bool avoided =
+            !group.usable(copy.searcher, now) || owners.lost(group.replica(copy.searcher).owner, now);
+        (avoided ? unlikely_ : likely_).push_back(copy);
+    }
+    auto& from = likely_.empty() ? unlikely_ : likely_;
+    if (from.empty()) {
+        return std::nullopt;
+    }
+    if (from.size() == 1) {
+        return from.front();
+    }
+    const auto count = static_cast<std::uint32_t>(from.size());
+    const auto first = random_(count);
+    const auto second = (first + 1 + random_(count - 1)) % count;
+    const auto usual = group.load().usual();
+    const auto expected = [&](std::uint32_t n) {
+        return group.replica(from[n].searcher).stats.expected_us(usual, now);
+    };
+    return expected(first) <= expected(second) ? from[first] : from[second];
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/tests/core/coordinator_test.cpp
@@ -0,0 +1,226 @@
+// One query through the coordinator: snapshot, scatter, merge, coverage and deadline.
+#include "small_configuration.hpp"
+
+#include <skylarkseam/core/coordinator.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+struct fixture {
+    explicit fixture(layout shape_of = {})
+        : shape(shape_of)
+        , config(make_configuration(shape)) {
+        node.set_configuration(config, now);
+        node.set_ownership(make_ownership(shape), now);
+    }
+
+    void handle(coordinator_input event) {
+        out.clear();
+        node.handle(std::move(event), now, out);
+        for (const auto& it : out) {
+            if (const auto* batch = std::get_if<coordinator_action::send_batch>(&it)) {
+                sent.push_back(*batch);
+            } else if (const auto* answer = std::get_if<coordinator_action::answer_query>(&it)) {
+                answers.push_back(*answer);
+            } else if (const auto* cancel = std::get_if<coordinator_action::send_cancel>(&it)) {
+                cancels.push_back(*cancel);
+            }
+        }
+    }
+
+    void learn(const std::vector<snapshot_id>& snapshots) {
+        for (std::uint32_t owner = 0; owner < shape.owners; ++owner) {
+            coordinator_event::status_arrived status{owner_name(owner), {}};
+            for (std::uint32_t n = owner; n < shape.replicas; n += shape.owners) {
+                searcher_status it{searcher_name(n), true, shape.slots, 0, 0, {}};
+                for (shard_id shard = 0; shard < shape.shards; ++shard) {
+                    it.shards.push_back({shard, snapshots});
+                }
+                status.searchers.push_back(std::move(it));
+            }
+            handle(std::move(status));
+        }
+    }
+
+    void ask(query_id id, const std::string& service = "search") {
+        query_request request;
+        request.caller = "crew";
+        request.service = service;
+        request.query_json = "{}";
+        request.limit = 3;
+        request.idempotency_key = service == "billing" ? "key" : "";
+        handle(coordinator_event::query_arrived{id, request});
+    }
+
+    static subquery_reply reply_to(const subquery_batch& batch, std::size_t n) {
+        subquery_reply reply;
+        reply.query = batch.query;
+        reply.attempt = batch.subqueries.at(n).attempt;
+        reply.shard = batch.subqueries.at(n).shard;
+        reply.snapshot = batch.snapshot;
+        reply.outcome = subquery_outcome::answered;
+        reply.dispatch_sequence = 1;
+        return reply;
+    }
+
+    void pass(duration step) {
+        now += step;
+        handle(coordinator_event::time_passed{});
+    }
+
+    layout shape;
+    std::shared_ptr<configuration> config;
+    coordinator node{"node0/1", 7};
+    time_point now{};
+    std::vector<coordinator_output> out;
+    std::vector<coordinator_action::send_batch> sent;
+    std::vector<coordinator_action::send_cancel> cancels;
+    std::vector<coordinator_action::answer_query> answers;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_coordinator)
+
+BOOST_AUTO_TEST_CASE(asks_for_status_first_and_then_scatters_one_batch_for_each_owner) {
+    fixture it;
+    it.ask(1);
+    BOOST_TEST(it.sent.empty());
+    BOOST_TEST(std::holds_alternative<coordinator_action::request_status>(it.out.front()));
+    it.learn({4, 5});
+    BOOST_TEST_REQUIRE(it.sent.size() == 1U);
+    BOOST_TEST(it.sent.front().batch.subqueries.size() == 3U);
+    BOOST_TEST(it.sent.front().batch.snapshot == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(merges_by_score_then_id_with_each_id_once) {
+    fixture it;
+    it.learn({5});
+    it.ask(1);
+    const auto batch = it.sent.front().batch;
+    for (std::size_t n = 0; n < 3; ++n) {
+        auto reply = fixture::reply_to(batch, n);
+        reply.hits = {{"same", 1.0 + static_cast<double>(n), "{}"}, {"own" + std::to_string(n), 2.5, "{}"}};
+        it.handle(coordinator_event::reply_arrived{owner_name(0), reply});
+    }
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    const auto& answer = it.answers.front().answer.value();
+    BOOST_TEST(answer.covered.searched == 3U);
+    BOOST_TEST_REQUIRE(answer.hits.size() == 3U);
+    BOOST_TEST(answer.hits[0].id == "same");
+    BOOST_TEST(answer.hits[0].score == 3.0);
+    BOOST_TEST(answer.hits[1].id == "own0");
+    BOOST_TEST(answer.hits[2].id == "own1");
+}
+
+BOOST_AUTO_TEST_CASE(answers_partially_at_the_deadline_and_names_what_is_missing) {
+    fixture it;
+    it.learn({5});
+    it.ask(1);
+    const auto batch = it.sent.front().batch;
+    it.handle(coordinator_event::reply_arrived{owner_name(0), fixture::reply_to(batch, 0)});
+    for (int n = 0; n < 20; ++n) {
+        it.pass(milliseconds(10));
+    }
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    const auto& answer = it.answers.front().answer.value();
+    BOOST_TEST(answer.covered.searched == 1U);
+    BOOST_TEST(answer.covered.missing.size() == 2U);
+    BOOST_TEST(it.node.open_queries() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(drops_and_counts_replies_that_are_late_crossed_duplicate_or_of_another_snapshot) {
+    fixture it;
+    it.learn({5});
+    it.ask(1);
+    const auto batch = it.sent.front().batch;
+    const auto good = fixture::reply_to(batch, 0);
+    it.handle(coordinator_event::reply_arrived{owner_name(0), good});
+    it.handle(coordinator_event::reply_arrived{owner_name(0), good});
+    auto crossed = fixture::reply_to(batch, 1);
+    crossed.shard = batch.subqueries.at(2).shard;
+    it.handle(coordinator_event::reply_arrived{owner_name(0), crossed});
+    auto other_query = fixture::reply_to(batch, 1);
+    other_query.query = 99;
+    it.handle(coordinator_event::reply_arrived{owner_name(0), other_query});
+    auto mixed = fixture::reply_to(batch, 1);
+    mixed.snapshot = 4;
+    it.handle(coordinator_event::reply_arrived{owner_name(0), mixed});
+    BOOST_TEST(it.node.counters().replies_dropped == 4U);
+    BOOST_TEST(it.answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(refuses_a_caller_over_its_limit_as_not_run) {
+    fixture it;
+    sharing_rule rule{"shares", "alerts", {{"crew", 1, 0.0, 1}}};
+    it.config->rules["shares"] = rule;
+    it.node.set_configuration(it.config, it.now);
+    it.learn({5});
+    it.ask(1);
+    it.ask(2);
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    const auto& refusal = it.answers.front().answer.error();
+    BOOST_TEST((refusal.kind == error_kind::caller_over_limit));
+    BOOST_TEST((refusal.ran == run_state::no));
+}
+
+BOOST_AUTO_TEST_CASE(asks_for_all_shards_again_on_a_newer_snapshot_when_the_pinned_one_goes_away) {
+    fixture it;
+    it.learn({5});
+    it.ask(1);
+    const auto first = it.sent.front().batch;
+    auto answered = fixture::reply_to(first, 0);
+    answered.hits = {{"old", 9.0, "{}"}};
+    it.handle(coordinator_event::reply_arrived{owner_name(0), answered});
+    it.sent.clear();
+    it.learn({6});
+    auto gone = fixture::reply_to(first, 1);
+    gone.outcome = subquery_outcome::snapshot_not_held;
+    gone.held = {6};
+    it.handle(coordinator_event::reply_arrived{owner_name(0), gone});
+    BOOST_TEST_REQUIRE(it.sent.size() == 1U);
+    const auto second = it.sent.front().batch;
+    BOOST_TEST(second.snapshot == 6U);
+    BOOST_TEST(second.subqueries.size() == 3U);
+    for (std::size_t n = 0; n < 3; ++n) {
+        it.handle(coordinator_event::reply_arrived{owner_name(0), fixture::reply_to(second, n)});
+    }
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    BOOST_TEST(it.answers.front().answer.value().snapshot == 6U);
+    BOOST_TEST(it.answers.front().answer.value().hits.empty());
+}
+
+BOOST_AUTO_TEST_SUITE(with_an_effect)
+
+BOOST_AUTO_TEST_CASE(sends_one_subquery_once_and_counts_its_shard_alone) {
+    fixture it({5, 2, 4, 2});
+    it.learn({5});
+    it.ask(1, "billing");
+    BOOST_TEST_REQUIRE(it.sent.size() == 1U);
+    const auto batch = it.sent.front();
+    BOOST_TEST(batch.batch.subqueries.size() == 1U);
+    BOOST_TEST(batch.batch.idempotency_key == "key");
+    it.handle(coordinator_event::reply_arrived{batch.owner, fixture::reply_to(batch.batch, 0)});
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    BOOST_TEST(it.answers.front().answer.value().covered.total == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(says_unknown_and_sends_nothing_more_when_its_owner_is_lost_after_sending) {
+    fixture it({5, 2, 4, 2});
+    it.learn({5});
+    it.ask(1, "billing");
+    it.handle(coordinator_event::batch_failed{it.sent.front().owner, 1, {0}, true});
+    for (int n = 0; n < 30; ++n) {
+        it.pass(milliseconds(10));
+    }
+    BOOST_TEST(it.sent.size() == 1U);
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    BOOST_TEST((it.answers.front().answer.error().kind == error_kind::outcome_unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
