Run a node: callers' port, coordinator, owner, thin membership and configuration watch

Cause: the whole path, thin: a query scattered to the owners over peer streams, answered by searchers, merged. Change: skylarkseam node and apply; a thin directory of peers and a plain watch of the configuration, both to be replaced; state dump, metrics, graceful shutdown. The event loop cancels its timers before its reactor goes: the timer queue called handlers that were already freed (three nodes of three crashed on exit; test added).

--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -1,7 +1,63 @@
 // The one program: a node, and the operators' commands.
+#include <skylarkseam/cli/commands.hpp>
+
+#include <array>
+#include <exception>
 #include <iostream>
+#include <string_view>
+
+namespace {
+
+using namespace skylarkseam;
+
+struct command {
+    std::string_view name;
+    exit_code (*run)(const arguments& args);
+    std::string_view help;
+};
+
+constexpr std::array commands{
+    command{"node", &node_command, "run a node"},
+    command{"apply", &apply_command, "apply a configuration"},
+};
+
+void print_help(std::ostream& out) {
+    out << "usage: skylarkseam COMMAND [ARGUMENTS]; each command has --help\n";
+    for (const auto& it : commands) {
+        out << "  " << it.name << "  " << it.help << '\n';
+    }
+}
+
+exit_code run(const arguments& args) {
+    if (args.empty()) {
+        print_help(std::cerr);
+        return exit_code::usage;
+    }
+    if (args.front() == "--help" || args.front() == "-h") {
+        print_help(std::cout);
+        return exit_code::done;
+    }
+    if (args.front() == "--version") {
+        std::cout << "skylarkseam " << SKYLARKSEAM_VERSION << '\n';
+        return exit_code::done;
+    }
+    for (const auto& it : commands) {
+        if (it.name == args.front()) {
+            return it.run({args.begin() + 1, args.end()});
+        }
+    }
+    std::cerr << "no such command: " << args.front() << '\n';
+    print_help(std::cerr);
+    return exit_code::usage;
+}
+
+} // namespace
 
-int main() {
-    std::cout << "skylarkseam " << SKYLARKSEAM_VERSION << '\n';
-    return 0;
+int main(int count, char** values) {
+    try {
+        return static_cast<int>(run({values + 1, values + count}));
+    } catch (const std::exception& ec) {
+        std::cerr << "skylarkseam: " << ec.what() << '\n';
+        return static_cast<int>(exit_code::refused);
+    }
 }
--- a/src/skylarkseam/shell/event_loop.cpp
+++ b/src/skylarkseam/shell/event_loop.cpp
@@ -137,6 +137,10 @@
     }
 
     ~impl() {
+        // The timer queue calls back each handler that is still in it when the reactor goes.
+        for (auto& [id, it] : timer_handlers) {
+            reactor.cancel_timer(id, nullptr, 1);
+        }
         for (auto& [fd, it] : descriptors) {
             reactor.remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         }
--- /dev/null
+++ b/src/skylarkseam/shell/node.cpp
@@ -0,0 +1,233 @@
+#include <skylarkseam/control/assignment.hpp>
+#include <skylarkseam/shell/admin_service.hpp>
+#include <skylarkseam/shell/caller_service.hpp>
+#include <skylarkseam/shell/configuration_watch.hpp>
+#include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/node.hpp>
+#include <skylarkseam/shell/owner_runner.hpp>
+#include <skylarkseam/shell/peer_directory.hpp>
+#include <skylarkseam/shell/platform_client.hpp>
+#include <skylarkseam/shell/query_runner.hpp>
+#include <skylarkseam/shell/state_json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace skylarkseam {
+namespace {
+
+constexpr duration drain_check_interval = milliseconds(20);
+constexpr duration balancer_notice = seconds(1); ///< between the health endpoint's 503 and the first refusal
+constexpr duration authority_length = seconds(10);
+constexpr duration authority_renewal = seconds(1);
+
+http_limits http_limits_of(const node_limits& limits) {
+    return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
+}
+
+peer_limits peer_limits_of(const node_limits& limits) {
+    return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
+}
+
+/// Rises with each start of a node, as far as its host's clock does; only its difference from others matters.
+std::uint64_t new_incarnation() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(since_epoch).count());
+}
+
+class node {
+public:
+    explicit node(const node_settings& settings)
+        : settings_(settings)
+        , incarnation_(new_incarnation())
+        , http_(loop_)
+        , platform_(http_, settings.platform_url)
+        , peers_(loop_, peer_limits_of(settings.limits))
+        , peer_port_(loop_, peer_limits_of(settings.limits))
+        , owner_(loop_, http_, metrics_, settings.name)
+        , queries_(loop_, peers_, owner_, metrics_, settings.name, std::to_string(incarnation_),
+                   std::random_device{}())
+        , callers_(loop_, http_limits_of(settings.limits), {}, metrics_, handlers())
+        , admin_(
+              loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
+              [this] { return unfit(); })
+        , configuration_(loop_, platform_, [this](auto config) { take_configuration(std::move(config)); }) {}
+
+    int run() {
+        loop_.on_termination([this] { on_signal(); });
+        listen();
+        add_sections();
+        renew_authority();
+        configuration_.start();
+        loop_.run();
+        return exit_code_;
+    }
+
+private:
+    void listen() {
+        owner_.serve(peer_port_);
+        const auto callers = callers_.listen(settings_.listen.callers);
+        const auto admin = admin_.listen(settings_.listen.admin);
+        const auto peers = peer_port_.listen(settings_.listen.peers);
+        member self{settings_.name, incarnation_, settings_.zone, settings_.region, peers};
+        directory_ = std::make_unique<peer_directory>(loop_, peers_, peer_port_, self, settings_.seeds,
+                                                      [this](const auto& members) { take_members(members); });
+        log_event(log_level::info, "listening", {{"callers", callers}, {"admin", admin}, {"peers", peers}});
+    }
+
+    void add_sections() {
+        admin_.add_section("configuration", [this] { return state_json(*config_); });
+        admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
+        admin_.add_section("queries", [this] { return state_json(queries_.state()); });
+        admin_.add_section("searchers", [this] { return state_json(owner_.state()); });
+    }
+
+    caller_handlers handlers() {
+        caller_handlers out;
+        out.on_query = [this](query_request request, std::function<void(request_outcome)> done) {
+            queries_.start(std::move(request), [done = std::move(done)](result<query_answer> answer) {
+                done({std::move(answer), "{}", {}});
+            });
+        };
+        out.on_job = [](const std::string& job, const std::function<void(result<std::string>)>& done) {
+            done(make_error(error_kind::not_found, "no such job: " + job));
+        };
+        out.unfit = [this] { return unfit(); };
+        out.refuse = [this] { return refusal(); };
+        out.configuration_now = [this] { return config_; };
+        return out;
+    }
+
+    /// What the balancer is told.
+    std::optional<error> unfit() const {
+        if (draining_) {
+            return make_error(error_kind::draining, "the node is shutting down");
+        }
+        return refusal();
+    }
+
+    /// What a new request is told.
+    std::optional<error> refusal() const {
+        if (refusing_) {
+            return make_error(error_kind::draining, "the node is shutting down");
+        }
+        if (config_->generation == 0) {
+            return make_error(error_kind::starting, "no configuration is in force yet");
+        }
+        return std::nullopt;
+    }
+
+    void take_configuration(std::shared_ptr<const configuration> config) {
+        log_event(log_level::info, "configuration_in_force", {{"generation", config->generation}});
+        config_ = std::move(config);
+        queries_.set_configuration(config_);
+        owner_.set_configuration(config_);
+        assign_searchers();
+    }
+
+    void take_members(const std::vector<member>& members) {
+        members_ = members;
+        log_event(log_level::info, "members_changed", {{"members", members.size()}});
+        assign_searchers();
+    }
+
+    void assign_searchers() {
+        const auto epoch = owners_->epoch + 1;
+        owners_ = std::make_shared<ownership>(assign(epoch, members_, *config_));
+        std::vector<std::string> owned;
+        for (const auto& [searcher, owner] : owners_->owner_of) {
+            if (owner == settings_.name) {
+                owned.push_back(searcher);
+            }
+        }
+        owner_.set_owned(owned, false);
+        queries_.set_ownership(owners_);
+    }
+
+    void renew_authority() {
+        const auto until = loop_.now() + authority_length;
+        owner_.set_authority({until, until});
+        loop_.run_after(authority_renewal, [this] { renew_authority(); });
+    }
+
+    void refresh_gauges() {
+        const auto& counters = queries_.state().counters();
+        metrics_.gauge("open_queries", {}, static_cast<double>(queries_.state().open_queries()));
+        metrics_.gauge("first_attempts", {}, static_cast<double>(counters.first_attempts));
+        metrics_.gauge("hedges", {}, static_cast<double>(counters.hedges));
+        metrics_.gauge("retries", {}, static_cast<double>(counters.retries));
+        metrics_.gauge("replies_dropped", {}, static_cast<double>(counters.replies_dropped));
+        metrics_.gauge("upstream_in_flight", {}, static_cast<double>(owner_.state().in_flight()));
+        metrics_.gauge("platform_calls", {}, static_cast<double>(platform_.calls()));
+        metrics_.gauge("rejected_requests", {}, static_cast<double>(callers_.rejected()));
+        metrics_.gauge("rejected_peer_requests", {}, static_cast<double>(peer_port_.rejected()));
+        metrics_.gauge("configuration_generation", {}, static_cast<double>(config_->generation));
+    }
+
+    void on_signal() {
+        if (draining_) {
+            log_event(log_level::warning, "shutdown_forced",
+                      {{"open_requests", callers_.open_requests()},
+                       {"upstream_in_flight", owner_.state().in_flight()}});
+            exit_code_ = 1;
+            loop_.stop();
+            return;
+        }
+        draining_ = true;
+        log_event(log_level::info, "draining", {{"open_requests", callers_.open_requests()}});
+        loop_.run_after(balancer_notice, [this] {
+            refusing_ = true;
+            drain_until_ = loop_.now() + settings_.timing.drain;
+            check_drained();
+        });
+    }
+
+    void check_drained() {
+        const auto open = callers_.open_requests();
+        const auto in_flight = owner_.state().in_flight();
+        if (open == 0 && in_flight == 0) {
+            log_event(log_level::info, "drained", {});
+            loop_.stop();
+            return;
+        }
+        if (loop_.now() >= drain_until_) {
+            log_event(log_level::warning, "drain_timeout",
+                      {{"open_requests", open}, {"upstream_in_flight", in_flight}});
+            exit_code_ = 1;
+            loop_.stop();
+            return;
+        }
+        loop_.run_after(drain_check_interval, [this] { check_drained(); });
+    }
+
+    node_settings settings_;
+    std::uint64_t incarnation_;
+    event_loop loop_;
+    metrics metrics_;
+    http_client http_;
+    platform_client platform_;
+    peer_client peers_;
+    peer_server peer_port_;
+    owner_runner owner_;
+    query_runner queries_;
+    caller_service callers_;
+    admin_service admin_;
+    configuration_watch configuration_;
+    std::unique_ptr<peer_directory> directory_;
+    std::shared_ptr<const configuration> config_ = std::make_shared<configuration>();
+    std::shared_ptr<const ownership> owners_ = std::make_shared<ownership>();
+    std::vector<member> members_;
+    bool draining_ = false; ///< the health endpoint says so
+    bool refusing_ = false; ///< new requests are refused
+    time_point drain_until_{};
+    int exit_code_ = 0;
+};
+
+} // namespace
+
+int run_node(const node_settings& settings) {
+    start_logging(settings.level, settings.name);
+    return node(settings).run();
+}
+
+} // namespace skylarkseam
--- a/tests/shell/event_loop_test.cpp
+++ b/tests/shell/event_loop_test.cpp
@@ -51,6 +51,16 @@
     BOOST_TEST(fired == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_loop_that_ends_drops_its_timers) {
+    bool fired = false;
+    {
+        event_loop other;
+        other.run_after(seconds(10), [&] { fired = true; });
+        other.run_once(milliseconds(1));
+    }
+    BOOST_TEST(!fired);
+}
+
 BOOST_AUTO_TEST_CASE(a_posted_task_runs_after_the_callback_that_posted_it) {
     std::string order;
     loop.post([&] {
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -115,7 +115,8 @@
 BOOST_AUTO_TEST_CASE(headers_over_the_limit_are_refused) {
     auto request = post("x");
     request.headers.push_back("X-Long: " + std::string(8192, 'x'));
-    BOOST_TEST(fetch(std::move(request)).status >= 400);
+    const auto response = fetch(std::move(request));
+    BOOST_TEST(response.status >= 400);
 }
 
 BOOST_AUTO_TEST_CASE(beyond_the_open_requests_a_request_is_refused_as_not_run) {
@@ -167,7 +168,8 @@
     address = bound_address(upstream.fd);
     auto request = post("x");
     request.never_resend = true;
-    BOOST_TEST(fetch(std::move(request)).status == 0);
+    const auto response = fetch(std::move(request));
+    BOOST_TEST(response.status == 0);
     run_turns(20);
     BOOST_TEST(upstream.requests == 1);
 }
