Retire stored outcomes by the store's versions, not by a clock

Cause: claims would pile up, and neither the hosts' clocks nor a host that lives for a whole retention can be relied on. Change: one small object is rewritten each minute by the node that has the duty; its versions mark how much time was observed to pass for the whole store, so an object's version gives its least age. Each bucket is listed by one node in ten minutes, what is past its retention is removed conditionally, and a claim left 'claimed' for five minutes becomes 'unknown'.

--- /dev/null
+++ b/src/skylarkseam/control/retirement.hpp
@@ -0,0 +1,72 @@
+// Retires what is kept for a stated retention only: the stored outcomes of claims and the results of jobs.
+// Also turns claims whose holder has been silent for long into unknown ones, so that operators find them.
+#pragma once
+
+#include <skylarkseam/control/platform_call.hpp>
+#include <skylarkseam/control/version_clock.hpp>
+#include <skylarkseam/core/ownership.hpp>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace skylarkseam {
+
+struct retirement_settings {
+    duration retention = std::chrono::hours(24);
+    /// A claim that stays `claimed` for so long has lost its holder; far beyond any deadline.
+    duration claim_grace = std::chrono::minutes(5);
+    duration clock_interval = std::chrono::minutes(1);  ///< between marks of the clock
+    duration sweep_interval = std::chrono::minutes(10); ///< between two lists of one bucket
+    duration change_interval = milliseconds(200);       ///< between two removals or updates of this node
+};
+
+struct retirement_counters {
+    std::uint64_t lists = 0;
+    std::uint64_t retired = 0;
+    std::uint64_t made_unknown = 0;
+};
+
+class retirement {
+public:
+    /// \param kinds  the buckets that are swept, all of them over all members together
+    retirement(std::string self, std::vector<std::string> kinds, retirement_settings settings = {});
+
+    void set_members(std::vector<member> members) { members_ = std::move(members); }
+
+    void handle(const platform_answer& event, time_point now, std::vector<platform_call>& out);
+    void pass_time(time_point now, std::vector<platform_call>& out);
+
+    [[nodiscard]] std::optional<time_point> next_wakeup() const { return wakeup_; }
+    [[nodiscard]] const retirement_counters& counters() const { return counters_; }
+
+private:
+    enum class step { idle, reading_clock, writing_clock, listing, changing };
+
+    void begin_round(time_point now, std::vector<platform_call>& out);
+    void on_clock_read(const platform_response& response, time_point now, std::vector<platform_call>& out);
+    void on_clock_written(const platform_response& response, time_point now, std::vector<platform_call>& out);
+    void on_list(const platform_response& response);
+    void next_step(time_point now, std::vector<platform_call>& out);
+    void call(step next, platform_request request, std::vector<platform_call>& out);
+    void consider(const platform_object& object);
+
+    std::string self_;
+    std::vector<std::string> kinds_;
+    retirement_settings settings_;
+    std::vector<member> members_;
+    step step_ = step::idle; ///< at most one call is under way
+    platform_call_id last_call_ = 0;
+    std::optional<time_point> wakeup_ = time_point{};
+    version_clock clock_;
+    std::string clock_version_;       ///< of the clock's object as last seen; empty: never
+    time_point clock_seen_{};         ///< when clock_version_ was first seen
+    time_point next_sweep_{};         ///< of all this node's buckets
+    std::deque<std::string> to_list_; ///< buckets that are left in this sweep
+    std::deque<platform_request> to_change_;
+    retirement_counters counters_;
+};
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/control/version_clock.cpp
@@ -0,0 +1,77 @@
+#include <skylarkseam/control/version_clock.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace skylarkseam {
+namespace {
+
+/// A mark is left out where its neighbours are no further apart than this part of the older one's age.
+constexpr int age_steps = 16;
+/// Beyond it, one mark is enough.
+constexpr duration longest_age = std::chrono::hours(24 * 14);
+
+} // namespace
+
+std::uint64_t version_clock::at_least(duration age) const {
+    const auto it =
+        std::find_if(marks_.begin(), marks_.end(), [&](const version_mark& mark) { return mark.age >= age; });
+    return it == marks_.end() ? 0 : it->version;
+}
+
+void version_clock::advance(std::uint64_t own_version, duration elapsed) {
+    for (auto& it : marks_) {
+        it.age += elapsed;
+    }
+    marks_.insert(marks_.begin(), {own_version, elapsed});
+    thin_out();
+}
+
+void version_clock::thin_out() {
+    while (marks_.size() > 1 && marks_[marks_.size() - 2].age >= longest_age) {
+        marks_.pop_back();
+    }
+    std::vector<version_mark> kept{marks_.back()};
+    for (auto it = marks_.rbegin() + 1; it != marks_.rend(); ++it) {
+        const auto next = it + 1;
+        const bool dense =
+            next != marks_.rend() && kept.back().age - next->age <= kept.back().age / age_steps;
+        if (!dense) {
+            kept.push_back(*it);
+        }
+    }
+    std::reverse(kept.begin(), kept.end());
+    marks_ = std::move(kept);
+}
+
+std::string version_clock::encode() const {
+    auto marks = nlohmann::json::array();
+    for (const auto& it : marks_) {
+        marks.push_back({{"version", it.version}, {"age_ms", to_ms(it.age)}});
+    }
+    return nlohmann::json{{"marks", std::move(marks)}}.dump();
+}
+
+std::optional<version_clock> version_clock::decode(const std::string& json) {
+    const auto value = nlohmann::json::parse(json, nullptr, false);
+    try {
+        version_clock clock;
+        for (const auto& it : value.at("marks")) {
+            clock.marks_.push_back(
+                {it.at("version").get<std::uint64_t>(), milliseconds(it.at("age_ms").get<std::int64_t>())});
+        }
+        return clock;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::uint64_t version_number(const std::string& text) {
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    return ec == std::errc() && end == text.data() + text.size() ? n : 0;
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/tests/control/retirement_test.cpp
@@ -0,0 +1,195 @@
+// What is kept for a retention goes after it and never before, within the call budget and with no clock of
+// the platform's.
+#include "virtual_world.hpp"
+
+#include <skylarkseam/control/claim_record.hpp>
+#include <skylarkseam/control/duty.hpp>
+#include <skylarkseam/control/retirement.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <set>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+constexpr auto hour = std::chrono::hours(1);
+
+std::vector<member> members_named(int n) {
+    std::vector<member> members;
+    members.reserve(static_cast<std::size_t>(n));
+    for (int it = 0; it < n; ++it) {
+        members.push_back({"host" + std::to_string(it), 1, "", "", ""});
+    }
+    return members;
+}
+
+std::vector<std::string> claim_kinds() {
+    std::vector<std::string> kinds;
+    for (unsigned it = 0; it < claim_bucket_count; ++it) {
+        kinds.push_back(claim_kind(it));
+    }
+    return kinds;
+}
+
+/// Hosts that retire claims; each can be replaced by a new one that has seen nothing.
+struct retirement_world {
+    explicit retirement_world(int n) {
+        for (int it = 0; it < n; ++it) {
+            parts.push_back(nullptr);
+            replace(static_cast<std::size_t>(it));
+        }
+    }
+    void replace(std::size_t host) {
+        parts[host] = std::make_unique<retirement>("host" + std::to_string(host), claim_kinds());
+        parts[host]->set_members(members_named(static_cast<int>(parts.size())));
+        wake(host, parts[host].get());
+    }
+    void wake(std::size_t host, retirement* part) {
+        if (parts[host].get() != part) {
+            return;
+        }
+        std::vector<platform_call> out;
+        part->pass_time(clock.now(), out);
+        send(host, part, out);
+    }
+    void send(std::size_t host, retirement* part, const std::vector<platform_call>& out) {
+        for (const auto& it : out) {
+            platform.send(it.request, [this, host, part, id = it.id](platform_response response) {
+                if (parts[host].get() == part) {
+                    std::vector<platform_call> more;
+                    part->handle({id, std::move(response)}, clock.now(), more);
+                    send(host, part, more);
+                }
+            });
+        }
+        if (const auto when = part->next_wakeup()) {
+            clock.at(std::max(*when, clock.now() + milliseconds(1)),
+                     [this, host, part] { wake(host, part); });
+        }
+    }
+    void store(const std::string& key, claim_state state) {
+        claim_record claim;
+        claim.state = state;
+        const auto address = claim_address_of("c", "s", key);
+        platform.apply({platform_method::create, address.kind, address.name, "", encode_claim(claim), 0});
+    }
+    std::optional<claim_state> state_of(const std::string& key) {
+        const auto address = claim_address_of("c", "s", key);
+        const auto found = platform.objects.find({address.kind, address.name});
+        return found == platform.objects.end() ? std::nullopt
+                                               : std::optional(decode_claim(found->second.value_json)->state);
+    }
+    void run_for(duration length) { clock.run_until(clock.now() + length); }
+
+    virtual_clock clock;
+    random_source random{1};
+    fake_platform platform{clock, random};
+    std::vector<std::unique_ptr<retirement>> parts;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retiring)
+
+BOOST_AUTO_TEST_CASE(the_clock_keeps_few_marks_and_none_claims_more_age_than_passed) {
+    version_clock clock;
+    std::map<std::uint64_t, duration> born;
+    duration now{};
+    for (std::uint64_t version = 1; version <= 3000; ++version) {
+        born[version] = now;
+        now += std::chrono::minutes(1);
+        clock.advance(version, std::chrono::minutes(1));
+    }
+    BOOST_TEST(clock.marks().size() < 200U);
+    for (const auto& it : clock.marks()) {
+        BOOST_TEST((now - born[it.version] >= it.age));
+    }
+    const auto day_old = clock.at_least(24 * hour);
+    BOOST_TEST((now - born[day_old] >= 24 * hour));
+    BOOST_TEST((now - born[day_old] <= 26 * hour));
+    BOOST_TEST((version_clock::decode(clock.encode())->marks() == clock.marks()));
+}
+
+BOOST_AUTO_TEST_CASE(an_outcome_stays_for_its_retention_and_goes_within_a_tenth_more) {
+    retirement_world world(3);
+    world.run_for(hour);
+    world.store("a", claim_state::done);
+    world.run_for(24 * hour - std::chrono::minutes(1));
+    BOOST_TEST(world.state_of("a").has_value());
+    world.run_for(3 * hour);
+    BOOST_TEST(!world.state_of("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(it_goes_though_every_host_is_replaced_every_two_hours) {
+    retirement_world world(3);
+    world.store("a", claim_state::done);
+    for (int it = 0; it < 13; ++it) {
+        world.run_for(2 * hour);
+        world.replace(static_cast<std::size_t>(it % 3));
+    }
+    world.run_for(3 * hour);
+    BOOST_TEST(!world.state_of("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_outcome_is_never_retired) {
+    retirement_world world(3);
+    world.store("a", claim_state::unknown);
+    world.run_for(100 * hour);
+    BOOST_TEST((world.state_of("a") == claim_state::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_that_its_holder_left_becomes_unknown) {
+    retirement_world world(3);
+    world.run_for(hour);
+    world.store("a", claim_state::claimed);
+    world.run_for(std::chrono::minutes(4));
+    BOOST_TEST((world.state_of("a") == claim_state::claimed));
+    world.run_for(std::chrono::minutes(30));
+    BOOST_TEST((world.state_of("a") == claim_state::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_and_an_outage_only_delay_it) {
+    retirement_world world(3);
+    world.platform.faults.lose_answers = 0.3;
+    world.store("a", claim_state::done);
+    world.run_for(10 * hour);
+    world.platform.faults.down = true;
+    world.run_for(5 * hour);
+    world.platform.faults.down = false;
+    world.run_for(20 * hour);
+    BOOST_TEST(!world.state_of("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_calls_do_not_grow_with_the_hosts) {
+    constexpr double calls_a_second = 1.0; // of the fleet, idle; the budget is 100 writes and 400 reads
+    for (const int hosts : {3, 12, 100}) {
+        retirement_world world(hosts);
+        world.run_for(5 * hour);
+        std::uint64_t calls = 0;
+        for (const auto& [method, n] : world.platform.calls) {
+            calls += n;
+        }
+        BOOST_TEST_MESSAGE(hosts << " hosts: " << calls << " calls in 5 h");
+        BOOST_TEST(static_cast<double>(calls) / (5 * 3600) < calls_a_second);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_members_moves_only_the_duties_of_those_that_came_or_went) {
+    const auto many = members_named(12);
+    const auto fewer = std::vector<member>(many.begin(), many.end() - 1);
+    std::set<std::string> holders;
+    for (const auto& it : claim_kinds()) {
+        const auto before = duty_holder(many, it);
+        holders.insert(before);
+        if (before != many.back().node) {
+            BOOST_TEST(duty_holder(fewer, it) == before);
+        }
+    }
+    BOOST_TEST(holders.size() >= 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
