--- a/src/skylarkseam/shell/caller_service.cpp
+++ b/src/skylarkseam/shell/caller_service.cpp
@@ -67,6 +67,23 @@
     return query;
 }
 
+/// What only the configuration can tell of a request. The key of a request to an idempotent service is
+/// dropped: such a request may run again, and is scattered.
+std::optional<error> check_against(const configuration& config, query_request& query) {
+    const auto it = config.services.find(query.service);
+    if (it == config.services.end()) {
+        return make_error(error_kind::unknown_service, "no such service: " + query.service);
+    }
+    if (!it->second.idempotent && query.idempotency_key.empty()) {
+        return bad("the service " + query.service +
+                   " is not idempotent: the header Idempotency-Key is missing");
+    }
+    if (it->second.idempotent) {
+        query.idempotency_key.clear();
+    }
+    return std::nullopt;
+}
+
 std::string service_label(const std::string& service) {
     return "service=\"" + service + "\"";
 }
@@ -129,6 +146,10 @@
         finish_query(request.header("x-request-id"), service, began, {query.error()}, answer);
         return;
     }
+    if (auto fault = check_against(*handlers_.configuration_now(), query.value())) {
+        finish_query(query.value().request_id, service, began, {std::move(*fault)}, answer);
+        return;
+    }
     auto id = query.value().request_id;
     handlers_.on_query(std::move(query.value()),
                        [this, id = std::move(id), service, began, answer](const request_outcome& outcome) {
