Keep a cell's members and owners in one lease object

One member renews the cell's record for all whose sign of life it has received; authority counts from the member's own sending time. Ownership moves only by a voted epoch change, and a new owner waits for the former owner's lease and the longest deadline, or for its word that it drained. While the platform is out of reach, members back each other's leases by promises, which exclude votes.

--- /dev/null
+++ b/src/skylarkseam/control/handover_tracker.cpp
@@ -0,0 +1,134 @@
+#include <skylarkseam/control/handover_tracker.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+bool same_handover(const handover& one, const handover& other) {
+    return one.searcher == other.searcher && one.former == other.former &&
+           one.former_incarnation == other.former_incarnation && one.epoch == other.epoch;
+}
+
+} // namespace
+
+void handover_tracker::note_handovers(const cell_record& record, time_point now) {
+    std::vector<wait> known;
+    for (const auto& it : record.handovers) {
+        const auto before =
+            std::ranges::find_if(known_, [&](const wait& one) { return same_handover(one.from, it); });
+        known.push_back(before == known_.end() ? wait{it, now + it.wait} : *before);
+        if (it.former == self_ && it.former_incarnation == incarnation_) {
+            known.back().drained = true;
+        }
+    }
+    known_ = std::move(known);
+}
+
+void handover_tracker::adopt(const cell_record& record, time_point now, ownership_step& step) {
+    note_handovers(record, now);
+    std::set<std::string> owned;
+    if (is_member(record, self_, incarnation_)) {
+        for (const auto& [name, node] : record.owners.owner_of) {
+            if (node == self_) {
+                owned.insert(name);
+            }
+        }
+    }
+    for (const auto& it : serving_) {
+        if (!owned.contains(it)) {
+            step.stopped.push_back(it);
+            draining_.insert(it);
+        }
+    }
+    std::erase_if(serving_, [&](const auto& it) { return !owned.contains(it); });
+    waits_.clear();
+    for (const auto& it : owned) {
+        if (serving_.contains(it)) {
+            continue;
+        }
+        waits_.emplace(it, wait{{it, {}, 0, record.owners.epoch, {}}, now});
+        for (const auto& one : known_) {
+            if (one.from.searcher == it) {
+                waits_.emplace(it, one);
+            }
+        }
+    }
+    start_ready(now, step);
+}
+
+bool handover_tracker::release(const std::string& former, std::uint64_t incarnation, epoch_id epoch,
+                               const std::vector<std::string>& searchers, time_point now,
+                               ownership_step& step) {
+    bool all_known = true;
+    for (const auto& name : searchers) {
+        for (auto& it : known_) {
+            it.drained = it.drained || (it.from.searcher == name && it.from.former == former &&
+                                        it.from.former_incarnation == incarnation && epoch >= it.from.epoch);
+        }
+        bool known = serving_.contains(name);
+        const auto [first, last] = waits_.equal_range(name);
+        for (auto it = first; it != last; ++it) {
+            const auto& from = it->second.from;
+            known = known || epoch >= from.epoch;
+            it->second.drained =
+                it->second.drained ||
+                (from.former == former && from.former_incarnation == incarnation && epoch >= from.epoch);
+        }
+        all_known = all_known && known;
+    }
+    start_ready(now, step);
+    return all_known;
+}
+
+void handover_tracker::advance(time_point now, ownership_step& step) {
+    start_ready(now, step);
+}
+
+void handover_tracker::start_ready(time_point now, ownership_step& step) {
+    for (auto it = waits_.begin(); it != waits_.end();) {
+        const auto last = waits_.upper_bound(it->first);
+        const auto is_over = [&](const auto& one) { return one.second.drained || one.second.until <= now; };
+        if (!std::all_of(it, last, is_over)) {
+            it = last;
+            continue;
+        }
+        const bool drained = std::any_of(it, last, [](const auto& one) { return one.second.drained; });
+        step.started.push_back(it->first);
+        if (drained) {
+            step.handed_over.push_back(it->first);
+        }
+        serving_.insert(it->first);
+        draining_.erase(it->first);
+        to_release_.erase(it->first);
+        it = waits_.erase(it, last);
+    }
+}
+
+void handover_tracker::drained(const std::string& searcher) {
+    if (draining_.erase(searcher) > 0) {
+        to_release_.insert(searcher);
+    }
+}
+
+void handover_tracker::release_received(const std::string& searcher) {
+    to_release_.erase(searcher);
+}
+
+bool handover_tracker::still_waiting(const handover& it, time_point now) const {
+    const auto found =
+        std::ranges::find_if(known_, [&](const wait& one) { return same_handover(one.from, it); });
+    return found == known_.end() || found->until > now;
+}
+
+std::optional<time_point> handover_tracker::next_wakeup() const {
+    std::optional<time_point> next;
+    for (const auto& [name, it] : waits_) {
+        if (!it.drained && (!next || it.until < *next)) {
+            next = it.until;
+        }
+    }
+    return next;
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/control/member_lease.cpp
@@ -0,0 +1,68 @@
+#include <skylarkseam/control/member_lease.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::size_t remembered_messages = 64;
+
+} // namespace
+
+std::uint64_t member_lease::send(time_point now) {
+    sent_.push_back({++last_sequence_, now});
+    if (sent_.size() > remembered_messages) {
+        sent_.pop_front();
+    }
+    return last_sequence_;
+}
+
+std::optional<time_point> member_lease::sent_at(std::uint64_t sequence) const {
+    const auto found = std::ranges::lower_bound(sent_, sequence, {}, &sent_message::sequence);
+    if (found == sent_.end() || found->sequence != sequence) {
+        return std::nullopt;
+    }
+    return found->at;
+}
+
+void member_lease::acknowledge(std::uint64_t sequence) {
+    if (const auto at = sent_at(sequence)) {
+        renew(*at);
+    }
+}
+
+void member_lease::renew(time_point sent) {
+    renewed_at_ = renewed_at_ ? std::max(*renewed_at_, sent) : sent;
+}
+
+void member_lease::promised(const std::string& node, std::uint64_t sequence) {
+    if (const auto at = sent_at(sequence)) {
+        auto& latest = promises_[node];
+        latest = std::max(latest, *at);
+    }
+}
+
+void member_lease::end() {
+    renewed_at_.reset();
+    promises_.clear();
+}
+
+authority member_lease::current(std::size_t members) const {
+    time_point end{};
+    if (renewed_at_) {
+        end = *renewed_at_ + shortened(timing_, timing_.lease);
+    }
+    const auto quorum = promise_quorum(timing_.rule, members);
+    if (members > 0 && promises_.size() >= quorum) {
+        std::vector<time_point> sent;
+        for (const auto& [node, at] : promises_) {
+            sent.push_back(at);
+        }
+        std::ranges::sort(sent, std::greater<>{});
+        end = std::max(end, sent[quorum - 1] + shortened(timing_, timing_.promise));
+    }
+    return end == time_point{} ? authority{} : authority{end - timing_.warm_tail, end};
+}
+
+} // namespace skylarkseam
