--- a/src/skylarkseam/control/effect_claims.hpp
+++ b/src/skylarkseam/control/effect_claims.hpp
@@ -87,6 +87,8 @@
 
 class effect_claims {
 public:
+    using time_event = effect_event::time_passed;
+
     effect_claims(std::string self, std::uint64_t incarnation, effect_claims_settings settings = {});
 
     /// The nodes known to be up; a claim of any other is answered as unknown. Empty: not known yet.
--- a/tests/control/effect_world.hpp
+++ b/tests/control/effect_world.hpp
@@ -18,40 +18,43 @@
     std::map<std::string, int> runs_by_key;
     std::map<effect_id, int> runs_by_arrival;
     std::map<std::string, std::string> body_by_key;
+
+    std::pair<effect_end, std::string> run(const effect_action::run_effect& it, random_source& random) {
+        if (chance(random, shed)) {
+            return {effect_end::not_run, ""};
+        }
+        if (chance(random, break_before)) {
+            return {effect_end::unknown, ""};
+        }
+        const auto& key = it.request.idempotency_key;
+        ++runs_by_key[key];
+        ++runs_by_arrival[it.id];
+        body_by_key[key] = "\"run of " + std::to_string(it.id) + "\"";
+        return chance(random, mute) ? std::pair{effect_end::unknown, std::string()}
+                                    : std::pair{effect_end::answered, body_by_key[key]};
+    }
 };
 
 struct effect_world;
 
 class effect_host {
 public:
-    effect_host(effect_world& world, std::string name)
-        : world_(world)
-        , name_(std::move(name)) {
-        start();
-    }
+    effect_host(effect_world& world, std::string name);
 
-    void start() {
-        claims_ = std::make_unique<effect_claims>(name_, ++incarnation_);
-        paused_until_ = {};
-    }
-    void crash() { claims_.reset(); }
-    void pause(duration length);
-    void feed(effect_input event);
+    void start() { process_.start(std::make_unique<effect_claims>(name_, process_.life() + 1)); }
+    void crash() { process_.crash(); }
+    void pause(duration length) { process_.pause(length); }
     void submit(effect_id id, query_request request, duration deadline);
-    [[nodiscard]] bool is_up() const { return claims_ != nullptr; }
-    [[nodiscard]] member self() const { return {name_, incarnation_, "", "", ""}; }
-    effect_claims& claims() { return *claims_; }
+    [[nodiscard]] bool is_up() const { return process_.is_up(); }
+    [[nodiscard]] member self() const { return {name_, process_.life(), "", "", ""}; }
+    effect_claims& claims() { return process_.machine(); }
 
 private:
-    void feed_later(effect_input event, std::uint64_t incarnation);
     void perform(effect_output& output);
-    void arm();
 
     effect_world& world_;
     std::string name_;
-    std::uint64_t incarnation_ = 0;
-    std::unique_ptr<effect_claims> claims_;
-    time_point paused_until_{};
+    fake_process<effect_claims, effect_input, effect_output> process_;
 };
 
 struct effect_world {
@@ -105,82 +108,34 @@
     effect_id last_id = 0;
 };
 
-inline void effect_host::pause(duration length) {
-    paused_until_ = std::max(paused_until_, world_.clock.now() + length);
+inline effect_host::effect_host(effect_world& world, std::string name)
+    : world_(world)
+    , name_(std::move(name))
+    , process_(world.clock, [this](effect_output& output) { perform(output); }) {
+    start();
 }
 
 inline void effect_host::submit(effect_id id, query_request request, duration deadline) {
-    feed(effect_event::request_arrived{id, std::move(request), world_.clock.now() + deadline});
-}
-
-inline void effect_host::feed(effect_input event) {
-    feed_later(std::move(event), incarnation_);
-}
-
-inline void effect_host::feed_later(effect_input event, std::uint64_t incarnation) {
-    if (!claims_ || incarnation != incarnation_) {
-        return;
-    }
-    if (paused_until_ > world_.clock.now()) {
-        world_.clock.at(paused_until_,
-                        [this, event, incarnation]() mutable { feed_later(std::move(event), incarnation); });
-        return;
-    }
-    std::vector<effect_output> out;
-    claims_->handle(std::move(event), world_.clock.now(), out);
-    for (auto& it : out) {
-        perform(it);
-    }
-    arm();
-}
-
-inline void effect_host::arm() {
-    if (const auto when = claims_->next_wakeup()) {
-        world_.clock.at(*when, [this, incarnation = incarnation_] {
-            feed_later(effect_event::time_passed{}, incarnation);
-        });
-    }
+    process_.feed(effect_event::request_arrived{id, std::move(request), world_.clock.now() + deadline});
 }
 
 inline void effect_host::perform(effect_output& output) {
-    const auto incarnation = incarnation_;
     if (auto* call = std::get_if<platform_call>(&output)) {
-        world_.platform.send(call->request, [this, incarnation, id = call->id](platform_response response) {
-            feed_later(platform_answer{id, std::move(response)}, incarnation);
-        });
-        return;
-    }
-    if (auto* answer = std::get_if<effect_action::answer_effect>(&output)) {
+        process_.call(world_.platform, *call);
+    } else if (auto* answer = std::get_if<effect_action::answer_effect>(&output)) {
         ++world_.answer_counts[answer->id];
         world_.answers.insert_or_assign(answer->id, answer->answer);
-        return;
+    } else {
+        const auto& it = std::get<effect_action::run_effect>(output);
+        world_.clock.after(milliseconds(1 + pick(world_.random, 20)), [this, it, life = process_.life()] {
+            const auto [end, body] = world_.upstream.run(it, world_.random);
+            world_.clock.after(milliseconds(1 + pick(world_.random, 20)),
+                               [this, it, life, how = end, text = body] {
+                                   const auto failure = make_error(error_kind::overloaded, "");
+                                   process_.feed(effect_event::effect_ended{it.id, how, text, failure}, life);
+                               });
+        });
     }
-    auto& run = std::get<effect_action::run_effect>(output);
-    world_.clock.after(milliseconds(1 + pick(world_.random, 20)), [this, run, incarnation] {
-        auto& upstream = world_.upstream;
-        const auto end = [&](effect_end how, const std::string& body) {
-            world_.clock.after(
-                milliseconds(1 + pick(world_.random, 20)), [this, run, how, body, incarnation] {
-                    feed_later(
-                        effect_event::effect_ended{run.id, how, body, make_error(error_kind::overloaded, "")},
-                        incarnation);
-                });
-        };
-        if (chance(world_.random, upstream.shed)) {
-            return end(effect_end::not_run, "");
-        }
-        if (chance(world_.random, upstream.break_before)) {
-            return end(effect_end::unknown, "");
-        }
-        ++upstream.runs_by_key[run.request.idempotency_key];
-        ++upstream.runs_by_arrival[run.id];
-        const auto body = "\"run of " + std::to_string(run.id) + "\"";
-        upstream.body_by_key[run.request.idempotency_key] = body;
-        if (chance(world_.random, upstream.mute)) {
-            return end(effect_end::unknown, "");
-        }
-        end(effect_end::answered, body);
-    });
 }
 
 } // namespace skylarkseam::testing
