Measure processor time for each subquery over the whole path

Cause: 109,000 subqueries a second a node is the target; the cost of one is the figure to drive down.

--- a/tests/end_to_end/child_process.cpp
+++ b/tests/end_to_end/child_process.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <tests/end_to_end/child_process.hpp>
 #include <thread>
+#include <unistd.h>
 
 extern char** environ;
 
@@ -73,6 +74,29 @@
     return text.str();
 }
 
+std::int64_t child_process::processor_us() const {
+    constexpr int fields_before_user_time = 11; // after the program's name, which may hold blanks
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int it = 0; it < fields_before_user_time; ++it) {
+        fields >> skipped;
+    }
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    return (user + system) * 1'000'000 / ::sysconf(_SC_CLK_TCK);
+}
+
+std::int64_t child_process::resident_bytes() const {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    file >> total >> resident;
+    return resident * ::sysconf(_SC_PAGESIZE);
+}
+
 std::string child_process::wait_for(const std::string& line, const std::string& key) const {
     for (int it = 0; it < most_polls; ++it) {
         std::istringstream lines(output());
--- a/tests/end_to_end/child_process.hpp
+++ b/tests/end_to_end/child_process.hpp
@@ -1,7 +1,7 @@
 // A program that a test starts, reads the output of, and ends by its process id.
 #pragma once
 
-#include <optional>
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -30,6 +30,11 @@
 
     [[nodiscard]] std::string output() const;
 
+    /// Processor time that the running program has used, in microseconds.
+    [[nodiscard]] std::int64_t processor_us() const;
+    /// Memory that the running program holds, in bytes.
+    [[nodiscard]] std::int64_t resident_bytes() const;
+
 private:
     pid_t pid_ = -1;
     std::string output_;
--- a/tests/end_to_end/deployment.cpp
+++ b/tests/end_to_end/deployment.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-deployment::deployment(int nodes)
+deployment::deployment(deployment_size size)
     : folder_(new_folder()) {
     const auto standin = binaries + "/skylarkseam-standin";
     platform_ =
@@ -50,13 +50,13 @@
     platform_address_ = platform_->wait_for("event=listening", "address");
     searchers_ = std::make_unique<child_process>(
         standin,
-        std::vector<std::string>{"searcher", "--searchers", "12", "--shards", std::to_string(shards),
-                                 "--replicas", "2", "--cold-interval-ms", "100", "--write-config",
-                                 path("searchers.yaml")},
+        std::vector<std::string>{"searcher", "--searchers", std::to_string(size.searchers), "--shards",
+                                 std::to_string(size.shards), "--replicas", std::to_string(size.replicas),
+                                 "--cold-interval-ms", "100", "--write-config", path("searchers.yaml")},
         path("searchers.log"));
     control_address_ = searchers_->wait_for("role=control", "address");
     const std::vector<std::string> zones{"a", "b", "c"};
-    for (int it = 0; it < nodes; ++it) {
+    for (int it = 0; it < size.nodes; ++it) {
         start_node("entry-" + std::to_string(it + 1), zones[static_cast<std::size_t>(it) % zones.size()]);
     }
     std::ifstream searchers(path("searchers.yaml"));
--- a/tests/end_to_end/deployment.hpp
+++ b/tests/end_to_end/deployment.hpp
@@ -12,13 +12,18 @@
 
 namespace skylarkseam::testing {
 
+struct deployment_size {
+    int nodes = 3;
+    int searchers = 12;
+    shard_id shards = 6;
+    int replicas = 2;
+};
+
 class deployment {
 public:
-    static constexpr shard_id shards = 6;
-
     /// Starts everything and applies a configuration with the services "search" (idempotent) and "billing"
-    /// (not).
-    explicit deployment(int nodes = 3);
+    /// (not idempotent).
+    explicit deployment(deployment_size size = {});
     ~deployment();
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
--- a/tests/end_to_end/queries_test.cpp
+++ b/tests/end_to_end/queries_test.cpp
@@ -14,7 +14,7 @@
 
 std::vector<shard_id> all_shards() {
     std::vector<shard_id> shards;
-    for (shard_id it = 0; it < deployment::shards; ++it) {
+    for (shard_id it = 0; it < deployment_size{}.shards; ++it) {
         shards.push_back(it);
     }
     return shards;
