Add the load tool and experiments on real processes

Cause: latency, coverage and the load on upstreams could not be measured on the whole path.

Change: skylarkseam-standin load sends open-loop arrivals from a fixed seed (latency from the scheduled time), plays the balancer, computes the right hits of each answer, reads the searchers' own counts, and writes JSON and a page with plots. bench/run runs paired experiments and lists bench_* programs.

--- a/scripts/deployment.bash
+++ b/scripts/deployment.bash
@@ -2,7 +2,8 @@
 # Whatever it starts ends with the script that sourced it.
 #   deployment_start CONFIG NODES [SEARCHER OPTION...]   sets WORK, PLATFORM, SEARCHER_CONTROL, and the arrays
 #                                                        CALLERS, ADMINS, PEERS and NODE_PIDS
-#   deployment_start_node INDEX [SEED...]                starts or replaces one node
+#   deployment_start_node INDEX [SEED...]                starts one node; a replacement takes over the callers'
+#                                                        address of the one before
 #   deployment_apply [FILE]                              applies the configuration with the real addresses
 #   deployment_wait_ready                                until every node answers /healthz with 200
 
@@ -52,7 +53,7 @@
     local zone=${NODE_ZONES[$((it % ${#NODE_ZONES[@]}))]}
     {
         echo "node: {name: node-$it, availability_zone: $zone, region: local}"
-        echo 'listen: {callers: "127.0.0.1:0", admin: "127.0.0.1:0", peers: "127.0.0.1:0"}'
+        echo "listen: {callers: \"${CALLERS[it]:-127.0.0.1:0}\", admin: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}"
         echo "platform: {url: \"$PLATFORM\"}"
         [ $# -gt 0 ] && printf 'seeds: [%s]\n' "$(printf '"%s",' "$@" | sed 's/,$//')"
         echo 'log: {level: info}'
--- a/standin/commands.hpp
+++ b/standin/commands.hpp
@@ -9,5 +9,6 @@
 
 int run_platform(int argc, char** argv);
 int run_searcher(int argc, char** argv);
+int run_load_command(int argc, char** argv); ///< fails if an answer was wrong
 
 } // namespace skylarkseam::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view usage = "usage: skylarkseam-standin COMMAND [OPTION...]\n"
                                    "  platform   the platform's object API\n"
                                    "  searcher   any number of searchers\n"
+                                   "  load       callers: queries at a stated rate, and a report\n"
                                    "Each command has --help; --version prints the version.\n";
 
 int run(int argc, char** argv) {
@@ -22,6 +23,9 @@
     if (command == "searcher") {
         return run_searcher(argc - 1, argv + 1);
     }
+    if (command == "load") {
+        return run_load_command(argc - 1, argv + 1);
+    }
     if (command == "--version") {
         std::cout << "skylarkseam-standin " << SKYLARKSEAM_VERSION << '\n';
         return exit_done;
