--- a/tests/wire/cell_codec_test.cpp
+++ b/tests/wire/cell_codec_test.cpp
@@ -36,6 +36,7 @@
                                                 released{1, {"s1"}},
                                                 release_received{{"s1", "s2"}}};
     std::vector<cell_envelope> messages;
+    messages.reserve(bodies.size());
     for (const auto& it : bodies) {
         messages.push_back({"cell0", "n1", 4, "127.0.0.1:1", it});
     }
