--- a/src/skylarkseam/control/cell.cpp
+++ b/src/skylarkseam/control/cell.cpp
@@ -157,6 +157,8 @@
                    [&](cell_message::join& it) {
                        if (is_holder) {
                            holder.on_join(message, it);
+                       } else {
+                           follower.on_join(message);
                        }
                    },
                    [&](cell_message::vote_request& it) { follower.on_vote_request(message, it); },
--- a/src/skylarkseam/control/cell.hpp
+++ b/src/skylarkseam/control/cell.hpp
@@ -112,7 +112,8 @@
     cell_index index;
     member self;
     cell_timing timing;
-    std::uint64_t seed = 0; ///< of the tokens
+    std::uint64_t seed = 0;         ///< of the tokens
+    std::vector<std::string> seeds; ///< peers that may know the record while the platform is out of reach
 };
 
 class cell {
--- a/src/skylarkseam/control/cell_follower.cpp
+++ b/src/skylarkseam/control/cell_follower.cpp
@@ -18,9 +18,7 @@
 
 void cell_follower::on_time() {
     if (!state_.record) {
-        if (state_.writer.ready(state_.now)) {
-            state_.writer.read(state_.now, *state_.out);
-        }
+        find_record();
         return;
     }
     if (!state_.self_is_member() && !state_.leaving && state_.now >= next_join_) {
@@ -31,6 +29,25 @@
     }
 }
 
+void cell_follower::find_record() {
+    if (state_.writer.ready(state_.now)) {
+        state_.writer.read(state_.now, *state_.out);
+    }
+    if (state_.now >= next_join_) {
+        next_join_ = state_.now + state_.timing().join_interval;
+        for (const auto& it : state_.settings.seeds) {
+            state_.send(it, cell_message::join{state_.self()});
+        }
+    }
+}
+
+/// Only the holder takes nodes in, but every node can tell who that is.
+void cell_follower::on_join(const cell_envelope& from) {
+    if (state_.record) {
+        state_.send(from.address, cell_message::renewed{state_.epoch(), state_.version, 0, state_.record});
+    }
+}
+
 void cell_follower::join() {
     next_join_ = state_.now + state_.timing().join_interval;
     if (state_.record->holder != state_.self().node) {
--- a/src/skylarkseam/control/cell_follower.hpp
+++ b/src/skylarkseam/control/cell_follower.hpp
@@ -15,6 +15,7 @@
     void on_time();
     void on_probe(const cell_envelope& from, const cell_message::probe& body);
     void on_renewed(const cell_envelope& from, const cell_message::renewed& body);
+    void on_join(const cell_envelope& from);
     void on_vote_request(const cell_envelope& from, const cell_message::vote_request& body);
 
     /// The object does not exist.
@@ -23,6 +24,7 @@
 private:
     void send_alive(const std::string& address);
     void join();
+    void find_record();
     void watch_holder();
     void take_over();
     [[nodiscard]] time_point takeover_time() const;
--- a/src/skylarkseam/core/owner.cpp
+++ b/src/skylarkseam/core/owner.cpp
@@ -566,4 +566,9 @@
     return n;
 }
 
+std::size_t owner::in_flight(const std::string& searcher) const {
+    const auto* it = impl_->find(searcher);
+    return it == nullptr ? 0 : it->in_flight();
+}
+
 } // namespace skylarkseam
--- a/src/skylarkseam/core/owner.hpp
+++ b/src/skylarkseam/core/owner.hpp
@@ -149,6 +149,7 @@
 
     [[nodiscard]] std::vector<owned_searcher_view> view() const;
     [[nodiscard]] std::size_t in_flight() const; ///< over all searchers
+    [[nodiscard]] std::size_t in_flight(const std::string& searcher) const;
 
 private:
     struct impl;
--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -84,7 +84,7 @@
     one.stopped.clear();
     one.last_end.clear();
     one.held.clear();
-    one.control = std::make_unique<cell>(cell_settings{"cell0", {}, one.self, options_.timing, random()});
+    one.control = std::make_unique<cell>(cell_settings{"cell0", {}, one.self, options_.timing, random(), {}});
     handle(it, cell_event::configuration_changed{config_});
     schedule(now_ + work_interval, [this, it, life = one.life] {
         if (nodes[it].life == life) {
