Run the cell in the node in place of the thin membership

The lease's length is no longer a setting of a node: two nodes with different ones would not exclude each other.

--- a/src/skylarkseam/core/settings.hpp
+++ b/src/skylarkseam/core/settings.hpp
@@ -33,8 +33,6 @@
 };
 
 struct node_timing {
-    duration lease = seconds(3);              ///< of a cell's lease
-    duration lease_renewal = seconds(1);      ///< between renewals; at most a third of the lease
     duration platform_timeout = seconds(2);   ///< of one call to the platform
     duration platform_watch = seconds(20);    ///< how long the platform may hold a watch
     duration peer_timeout = seconds(1);       ///< of one call to a peer
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -1,11 +1,10 @@
-#include <skylarkseam/control/assignment.hpp>
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/caller_service.hpp>
 #include <skylarkseam/shell/configuration_watch.hpp>
 #include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/membership_runner.hpp>
 #include <skylarkseam/shell/node.hpp>
 #include <skylarkseam/shell/owner_runner.hpp>
-#include <skylarkseam/shell/peer_directory.hpp>
 #include <skylarkseam/shell/platform_client.hpp>
 #include <skylarkseam/shell/query_runner.hpp>
 #include <skylarkseam/shell/state_json.hpp>
@@ -18,8 +17,8 @@
 
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr duration balancer_notice = seconds(1); ///< between the health endpoint's 503 and the first refusal
-constexpr duration authority_length = seconds(10);
-constexpr duration authority_renewal = seconds(1);
+constexpr duration leave_timeout = seconds(5);   ///< for the handover of a leaving node's searchers
+constexpr std::string_view cell_name = "cell-0";
 
 http_limits http_limits_of(const node_limits& limits) {
     return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
@@ -57,7 +56,6 @@
         loop_.on_termination([this] { on_signal(); });
         listen();
         add_sections();
-        renew_authority();
         configuration_.start();
         loop_.run();
         return exit_code_;
@@ -70,14 +68,17 @@
         const auto admin = admin_.listen(settings_.listen.admin);
         const auto peers = peer_port_.listen(settings_.listen.peers);
         member self{settings_.name, incarnation_, settings_.zone, settings_.region, peers};
-        directory_ = std::make_unique<peer_directory>(loop_, peers_, peer_port_, self, settings_.seeds,
-                                                      [this](const auto& members) { take_members(members); });
+        cell_settings cell{std::string(cell_name), {}, std::move(self), {}, std::random_device{}(),
+                           settings_.seeds};
+        membership_ = std::make_unique<membership_runner>(loop_, platform_, peers_, peer_port_,
+                                                          std::move(cell), membership());
         log_event(log_level::info, "listening", {{"callers", callers}, {"admin", admin}, {"peers", peers}});
     }
 
     void add_sections() {
         admin_.add_section("configuration", [this] { return state_json(*config_); });
         admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
+        admin_.add_section("membership", [this] { return membership_->state_json(); });
         admin_.add_section("queries", [this] { return state_json(queries_.state()); });
         admin_.add_section("searchers", [this] { return state_json(owner_.state()); });
     }
@@ -122,32 +123,22 @@
         config_ = std::move(config);
         queries_.set_configuration(config_);
         owner_.set_configuration(config_);
-        assign_searchers();
+        membership_->set_configuration(config_);
     }
 
-    void take_members(const std::vector<member>& members) {
-        members_ = members;
-        log_event(log_level::info, "members_changed", {{"members", members.size()}});
-        assign_searchers();
-    }
-
-    void assign_searchers() {
-        const auto epoch = owners_->epoch + 1;
-        owners_ = std::make_shared<ownership>(assign(epoch, members_, *config_));
-        std::vector<std::string> owned;
-        for (const auto& [searcher, owner] : owners_->owner_of) {
-            if (owner == settings_.name) {
-                owned.push_back(searcher);
-            }
-        }
-        owner_.set_owned(owned, false);
-        queries_.set_ownership(owners_);
-    }
-
-    void renew_authority() {
-        const auto until = loop_.now() + authority_length;
-        owner_.set_authority({until, until});
-        loop_.run_after(authority_renewal, [this] { renew_authority(); });
+    membership_handlers membership() {
+        membership_handlers out;
+        out.on_ownership = [this](std::shared_ptr<const ownership> owners) {
+            owners_ = std::move(owners);
+            queries_.set_ownership(owners_);
+        };
+        out.on_serve = [this](const auto& searchers, bool handed_over) {
+            owner_.set_owned(searchers, handed_over);
+        };
+        out.on_authority = [this](authority value) { owner_.set_authority(value); };
+        out.on_left = [this] { left_ = true; };
+        out.in_flight = [this](const auto& searcher) { return owner_.state().in_flight(searcher); };
+        return out;
     }
 
     void refresh_gauges() {
@@ -177,6 +168,8 @@
         log_event(log_level::info, "draining", {{"open_requests", callers_.open_requests()}});
         loop_.run_after(balancer_notice, [this] {
             refusing_ = true;
+            leave_until_ = loop_.now() + leave_timeout;
+            membership_->leave();
             drain_until_ = loop_.now() + settings_.timing.drain;
             check_drained();
         });
@@ -185,7 +178,7 @@
     void check_drained() {
         const auto open = callers_.open_requests();
         const auto in_flight = owner_.state().in_flight();
-        if (open == 0 && in_flight == 0) {
+        if (open == 0 && in_flight == 0 && (left_ || loop_.now() >= leave_until_)) {
             log_event(log_level::info, "drained", {});
             loop_.stop();
             return;
@@ -213,12 +206,13 @@
     caller_service callers_;
     admin_service admin_;
     configuration_watch configuration_;
-    std::unique_ptr<peer_directory> directory_;
+    std::unique_ptr<membership_runner> membership_;
     std::shared_ptr<const configuration> config_ = std::make_shared<configuration>();
     std::shared_ptr<const ownership> owners_ = std::make_shared<ownership>();
-    std::vector<member> members_;
     bool draining_ = false; ///< the health endpoint says so
     bool refusing_ = false; ///< new requests are refused
+    bool left_ = false;     ///< the cell's other members have this node's searchers
+    time_point leave_until_{};
     time_point drain_until_{};
     int exit_code_ = 0;
 };
--- a/src/skylarkseam/wire/settings_yaml.cpp
+++ b/src/skylarkseam/wire/settings_yaml.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::int64_t any_free_port = 0;
-constexpr std::int64_t least_renewals_in_a_lease = 3;
 constexpr integer_range time_range_ms{1, 3'600'000};
 constexpr integer_range byte_range{1024, std::int64_t{1} << 30U};
 constexpr integer_range count_range{1, 1'000'000};
@@ -52,19 +51,12 @@
 }
 
 void read_timing(map_reader& timing, node_timing& out) {
-    timing.time_ms("lease_ms", out.lease, time_range_ms);
-    timing.time_ms("lease_renewal_ms", out.lease_renewal, time_range_ms);
     timing.time_ms("platform_timeout_ms", out.platform_timeout, time_range_ms);
     timing.time_ms("platform_watch_ms", out.platform_watch, time_range_ms);
     timing.time_ms("peer_timeout_ms", out.peer_timeout, time_range_ms);
     timing.time_ms("cut_off_ms", out.cut_off, time_range_ms);
     timing.time_ms("drain_ms", out.drain, time_range_ms);
     timing.time_ms("health_poll_ms", out.health_poll, time_range_ms);
-    if (out.lease_renewal * least_renewals_in_a_lease > out.lease) {
-        timing.place()
-            .member("lease_renewal_ms")
-            .fault(timing.at("lease_renewal_ms"), "must be at most a third of lease_ms");
-    }
 }
 
 void read_seeds(map_reader& settings, std::vector<std::string>& out) {
