Let a node sleep while it waits for a handover, and tell the holder at once of leaving

Cause: the tracker's next wake-up was the earliest of all waits of a searcher, one of which had always passed, so the node's timer fired without a pause. On real processes the timers starved the sockets for the whole wait of 3.15 s: members fell silent and were taken out of the epoch.

Also: splits in which the majority loses the platform together, as tests and as a random fault.

--- a/src/skylarkseam/control/cell.cpp
+++ b/src/skylarkseam/control/cell.cpp
@@ -68,6 +68,8 @@
                        state.leaving = true;
                        if (is_holder) {
                            holder.hurry();
+                       } else {
+                           follower.announce_leaving();
                        }
                    },
                    [&](cell_event::time_passed&) {},
--- a/src/skylarkseam/control/cell_follower.cpp
+++ b/src/skylarkseam/control/cell_follower.cpp
@@ -81,6 +81,12 @@
     state_.send(address, cell_message::alive{state_.epoch(), sequence, state_.leaving});
 }
 
+void cell_follower::announce_leaving() {
+    if (state_.self_is_member()) {
+        send_alive(state_.record->holder_address);
+    }
+}
+
 void cell_follower::on_probe(const cell_envelope& from, const cell_message::probe& body) {
     if (body.version < state_.version) {
         return;
--- a/src/skylarkseam/control/cell_follower.hpp
+++ b/src/skylarkseam/control/cell_follower.hpp
@@ -18,6 +18,9 @@
     void on_join(const cell_envelope& from);
     void on_vote_request(const cell_envelope& from, const cell_message::vote_request& body);
 
+    /// Tells the holder that this node is to leave, without waiting for its probe.
+    void announce_leaving();
+
     /// The object does not exist.
     void on_missing();
 
--- a/src/skylarkseam/control/handover_tracker.cpp
+++ b/src/skylarkseam/control/handover_tracker.cpp
@@ -121,12 +121,23 @@
     return found == known_.end() || found->until > now;
 }
 
+std::size_t handover_tracker::waiting() const {
+    std::size_t n = 0;
+    for (auto it = waits_.begin(); it != waits_.end(); it = waits_.upper_bound(it->first)) {
+        ++n;
+    }
+    return n;
+}
+
 std::optional<time_point> handover_tracker::next_wakeup() const {
     std::optional<time_point> next;
-    for (const auto& [name, it] : waits_) {
-        if (!it.drained && (!next || it.until < *next)) {
-            next = it.until;
+    for (auto it = waits_.begin(); it != waits_.end();) {
+        const auto last = waits_.upper_bound(it->first);
+        time_point until{};
+        for (; it != last; ++it) {
+            until = it->second.drained ? until : std::max(until, it->second.until);
         }
+        next = next ? std::min(*next, until) : until;
     }
     return next;
 }
--- a/src/skylarkseam/control/handover_tracker.hpp
+++ b/src/skylarkseam/control/handover_tracker.hpp
@@ -45,11 +45,13 @@
     [[nodiscard]] const std::set<std::string>& to_release() const { return to_release_; }
     [[nodiscard]] const std::set<std::string>& draining() const { return draining_; }
     [[nodiscard]] const std::set<std::string>& serving() const { return serving_; }
-    [[nodiscard]] std::size_t waiting() const { return waits_.size(); }
+    /// Searchers that this node owns but does not yet serve.
+    [[nodiscard]] std::size_t waiting() const;
 
     /// Whether a handover may still be waited for, as far as this node knows.
     [[nodiscard]] bool still_waiting(const handover& it, time_point now) const;
 
+    /// When the first searcher that is waited for is ready, if no former owner speaks before.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
 
 private:
--- a/tests/control/cell_schedules_test.cpp
+++ b/tests/control/cell_schedules_test.cpp
@@ -21,6 +21,7 @@
     pause,
     cut_from_peers,
     cut_from_platform,
+    split,
     platform_down,
     platform_slow,
     platform_throttled,
@@ -36,6 +37,7 @@
     fault::pause,
     fault::cut_from_peers,
     fault::cut_from_platform,
+    fault::split,
     fault::platform_down,
     fault::platform_slow,
     fault::platform_throttled,
@@ -86,10 +88,31 @@
     }
 }
 
+/// Some nodes lose the platform and, some of them, the other nodes.
+void inject_split(cell_simulation& sim, duration span) {
+    for (std::size_t one = 0; one < sim.nodes.size(); ++one) {
+        sim.nodes[one].platform_cut = sim.random(3) != 0;
+        for (std::size_t other = 0; other < one; ++other) {
+            if (sim.nodes[one].platform_cut != sim.nodes[other].platform_cut) {
+                sim.cut(one, other);
+            }
+        }
+    }
+    sim.at(span, [&sim] {
+        sim.heal();
+        for (auto& it : sim.nodes) {
+            it.platform_cut = false;
+        }
+    });
+}
+
 void inject(cell_simulation& sim, fault kind) {
     const auto it = sim.random(static_cast<std::uint32_t>(sim.nodes.size()));
     const auto span = random_span(sim, 300, 8000);
     switch (kind) {
+    case fault::split:
+        inject_split(sim, span);
+        break;
     case fault::platform_down:
         sim.platform.down = true;
         sim.at(span, [&sim] { sim.platform.down = false; });
--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -153,6 +153,7 @@
         std::max(nodes[it].control->next_wakeup() - local(nodes[it]), duration(microseconds(100)));
     schedule(now_ + wait, [this, it, life = nodes[it].life] {
         deliver(it, life, [this, it] {
+            ++wakeups;
             handle(it, cell_event::time_passed{});
             wake(it);
         });
--- a/tests/control/cell_simulation.hpp
+++ b/tests/control/cell_simulation.hpp
@@ -87,6 +87,7 @@
     std::vector<std::string> violations;
     std::uint64_t dispatches = 0;
     std::uint64_t messages = 0;
+    std::uint64_t wakeups = 0; ///< of all nodes' timers
     std::uint64_t message_loss_percent = 0;
     std::size_t served_samples = 0; ///< searchers served, summed over samples
     std::size_t samples = 0;
--- a/tests/control/cell_test.cpp
+++ b/tests/control/cell_test.cpp
@@ -64,6 +64,18 @@
     BOOST_TEST_MESSAGE("longest time from a crash to service: " << to_ms(longest) << " ms");
 }
 
+// A wake-up that is always due starves the sockets of a node's event loop.
+BOOST_AUTO_TEST_CASE(a_node_that_waits_for_a_handover_sleeps) {
+    cell_simulation sim(with(3, 1));
+    sim.run_for(settle);
+    sim.crash(1);
+    const auto before = sim.wakeups;
+    sim.run_for(seconds(5));
+    constexpr std::uint64_t most_wakeups =
+        2 * 5 * 40; // two nodes, 5 s, twice the regular rate of 20 a second
+    BOOST_TEST(sim.wakeups - before <= most_wakeups);
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_leaves_hands_over_without_waiting_for_its_lease) {
     duration longest{};
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
@@ -134,6 +146,43 @@
     }
 }
 
+/// Cuts the first `n` nodes off from the platform and from the other nodes.
+void cut_off_first(cell_simulation& sim, std::size_t n) {
+    for (std::size_t one = 0; one < n; ++one) {
+        sim.nodes[one].platform_cut = true;
+        for (std::size_t it = n; it < sim.nodes.size(); ++it) {
+            sim.cut(one, it);
+        }
+    }
+}
+
+// The platform is up for the few, and the many cannot know it.
+BOOST_AUTO_TEST_CASE(a_majority_cut_off_together_serves_on_and_the_others_do_not_take_over) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        cell_simulation sim(with(5, seed));
+        sim.run_for(settle + milliseconds(seed * 37 % 1000));
+        const auto expected =
+            sim.nodes[0].serving.size() + sim.nodes[1].serving.size() + sim.nodes[2].serving.size();
+        cut_off_first(sim, 3);
+        sim.run_for(seconds(10));
+        BOOST_TEST(sim.served() >= expected, "seed " << seed << ": " << sim.served() << " of " << expected);
+        require_clean(sim, seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(where_every_member_has_to_promise_the_few_that_reach_the_platform_take_over) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        auto options = with(5, seed);
+        options.timing.rule = promise_rule::every;
+        cell_simulation sim(options);
+        sim.run_for(settle + milliseconds(seed * 37 % 1000));
+        cut_off_first(sim, 3);
+        sim.run_for(seconds(10));
+        BOOST_TEST(sim.served() == sim.searchers(), "seed " << seed << ": " << sim.served());
+        require_clean(sim, seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_minority_cut_off_from_peers_and_platform_stops) {
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
         cell_simulation sim(with(5, seed));
