Spread the configuration between nodes

Cause: an accepted configuration must be in force everywhere within 5 s, go on spreading when the platform fails, and never revert. Bodies are cut into parts at places that depend on the text alone, so that a change fetches only the parts that differ.

--- /dev/null
+++ b/src/skylarkseam/control/configuration_in_force.cpp
@@ -0,0 +1,38 @@
+#include <skylarkseam/control/body_parts.hpp>
+#include <skylarkseam/control/configuration_in_force.hpp>
+#include <skylarkseam/control/content_hash.hpp>
+
+namespace skylarkseam {
+
+result<bool> configuration_in_force::install(configuration_candidate candidate) {
+    if (candidate.generation <= held_.generation) {
+        return false;
+    }
+    if (content_hash(candidate.body) != candidate.hash) {
+        return make_error(error_kind::invalid_configuration, "the body does not fit its hash");
+    }
+    auto config = codec_.decode_body(candidate.body, candidate.generation);
+    if (config.has_error()) {
+        return config.error();
+    }
+    held_ = std::move(candidate);
+    config_ = std::move(config.value());
+    parts_.clear();
+    part_order_.clear();
+    for (auto& it : cut_body(held_.body)) {
+        part_order_.push_back(it.hash);
+        parts_.emplace(std::move(it.hash), it.text);
+    }
+    return true;
+}
+
+configuration_message::manifest configuration_in_force::manifest() const {
+    return {held_.generation, held_.token, held_.hash, part_order_};
+}
+
+std::string_view configuration_in_force::part(const std::string& hash) const {
+    const auto found = parts_.find(hash);
+    return found == parts_.end() ? std::string_view() : found->second;
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/control/content_hash.cpp
+++ b/src/skylarkseam/control/content_hash.cpp
@@ -19,4 +19,8 @@
     return hex;
 }
 
+std::uint64_t short_hash(std::string_view text) {
+    return XXH3_64bits(text.data(), text.size());
+}
+
 } // namespace skylarkseam
--- a/src/skylarkseam/wire/configuration_json.cpp
+++ b/src/skylarkseam/wire/configuration_json.cpp
@@ -96,6 +96,21 @@
     return it != value.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+std::vector<applied_generation> decode_history(const json& value) {
+    std::vector<applied_generation> history;
+    const auto list = value.find("history");
+    if (list == value.end() || !list->is_array()) {
+        return history;
+    }
+    for (const auto& it : *list) {
+        const auto generation = it.is_object() ? it.find("generation") : it.end();
+        if (generation != it.end() && generation->is_number_unsigned()) {
+            history.push_back({generation->get<generation_id>(), text_member(it, "token")});
+        }
+    }
+    return history;
+}
+
 result<configuration_head> decode_head(std::string_view value_json) {
     const auto value = json::parse(value_json, nullptr, false);
     if (!value.is_object() || value.value("format", json()) != head_format) {
@@ -110,6 +125,7 @@
     head.token = text_member(value, "token");
     head.hash = text_member(value, "hash");
     head.body = text_member(value, "body");
+    head.history = decode_history(value);
     for (const auto& it : value.value("pieces", json::array())) {
         head.pieces.push_back(it.is_string() ? it.get<std::string>() : std::string());
     }
@@ -126,6 +142,10 @@
     value["generation"] = head.generation;
     value["token"] = head.token;
     value["hash"] = head.hash;
+    value["history"] = json::array();
+    for (const auto& it : head.history) {
+        value["history"].push_back({{"generation", it.generation}, {"token", it.token}});
+    }
     if (head.pieces.empty()) {
         value["body"] = head.body;
     } else {
