Follow the configuration in the node through the follower

Cause: the thin watch knew one source, could be taken back by a stale read and did not spread. The first member by name watches until the lease is there. A node that hears neither platform nor peers answers cut_off. The state dump shows what is in force, who confirmed it, and counts.

--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -1,7 +1,7 @@
 #include <skylarkseam/control/assignment.hpp>
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/caller_service.hpp>
-#include <skylarkseam/shell/configuration_watch.hpp>
+#include <skylarkseam/shell/configuration_runner.hpp>
 #include <skylarkseam/shell/logging.hpp>
 #include <skylarkseam/shell/node.hpp>
 #include <skylarkseam/shell/owner_runner.hpp>
@@ -29,6 +29,16 @@
     return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
 }
 
+follower_options follower_options_of(const node_settings& settings, const std::string& address) {
+    follower_options options;
+    options.node = settings.name;
+    options.address = address;
+    options.seed = std::random_device{}();
+    options.watch_timeout = settings.timing.platform_watch;
+    options.cut_off = settings.timing.cut_off;
+    return options;
+}
+
 /// Rises with each start of a node, as far as its host's clock does; only its difference from others matters.
 std::uint64_t new_incarnation() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -51,14 +61,14 @@
         , admin_(
               loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
-        , configuration_(loop_, platform_, [this](auto config) { take_configuration(std::move(config)); }) {}
+        , configuration_(loop_, platform_, peers_,
+                         [this](auto config) { take_configuration(std::move(config)); }) {}
 
     int run() {
         loop_.on_termination([this] { on_signal(); });
         listen();
         add_sections();
         renew_authority();
-        configuration_.start();
         loop_.run();
         return exit_code_;
     }
@@ -69,6 +79,7 @@
         const auto callers = callers_.listen(settings_.listen.callers);
         const auto admin = admin_.listen(settings_.listen.admin);
         const auto peers = peer_port_.listen(settings_.listen.peers);
+        configuration_.start(follower_options_of(settings_, peers), peer_port_, settings_.seeds);
         member self{settings_.name, incarnation_, settings_.zone, settings_.region, peers};
         directory_ = std::make_unique<peer_directory>(loop_, peers_, peer_port_, self, settings_.seeds,
                                                       [this](const auto& members) { take_members(members); });
@@ -76,7 +87,8 @@
     }
 
     void add_sections() {
-        admin_.add_section("configuration", [this] { return state_json(*config_); });
+        admin_.add_section("configuration", [this] { return configuration_.state_json(); });
+        admin_.add_section("configuration_objects", [this] { return state_json(*config_); });
         admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
         admin_.add_section("queries", [this] { return state_json(queries_.state()); });
         admin_.add_section("searchers", [this] { return state_json(owner_.state()); });
@@ -114,11 +126,13 @@
         if (config_->generation == 0) {
             return make_error(error_kind::starting, "no configuration is in force yet");
         }
+        if (configuration_.cut_off()) {
+            return make_error(error_kind::cut_off, "neither the platform nor any peer was heard of late");
+        }
         return std::nullopt;
     }
 
     void take_configuration(std::shared_ptr<const configuration> config) {
-        log_event(log_level::info, "configuration_in_force", {{"generation", config->generation}});
         config_ = std::move(config);
         queries_.set_configuration(config_);
         owner_.set_configuration(config_);
@@ -128,9 +142,20 @@
     void take_members(const std::vector<member>& members) {
         members_ = members;
         log_event(log_level::info, "members_changed", {{"members", members.size()}});
+        configuration_.set_peers(peer_addresses());
+        configuration_.set_watching(!members_.empty() && members_.front().node == settings_.name);
         assign_searchers();
     }
 
+    /// The members, and the seeds that are not known as members yet.
+    std::vector<std::string> peer_addresses() const {
+        auto addresses = settings_.seeds;
+        for (const auto& it : members_) {
+            addresses.push_back(it.peer_address);
+        }
+        return addresses;
+    }
+
     void assign_searchers() {
         const auto epoch = owners_->epoch + 1;
         owners_ = std::make_shared<ownership>(assign(epoch, members_, *config_));
@@ -212,7 +237,7 @@
     query_runner queries_;
     caller_service callers_;
     admin_service admin_;
-    configuration_watch configuration_;
+    configuration_runner configuration_;
     std::unique_ptr<peer_directory> directory_;
     std::shared_ptr<const configuration> config_ = std::make_shared<configuration>();
     std::shared_ptr<const ownership> owners_ = std::make_shared<ownership>();
--- /dev/null
+++ b/src/skylarkseam/wire/msgpack_message.hpp
@@ -0,0 +1,105 @@
+// Messages as msgpack: each an array whose first element is its version. Included only by the codecs.
+#pragma once
+
+#include <skylarkseam/core/error.hpp>
+#include <skylarkseam/core/time.hpp>
+
+#include <msgpack.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkseam {
+
+inline constexpr std::uint32_t codec_version = 1;
+inline constexpr std::size_t max_elements = 1U << 20U;
+inline constexpr std::size_t max_depth = 16;
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+/// Limits on what one message may claim to hold, so that a short one cannot ask for much memory.
+inline msgpack::unpack_limit decode_limits() {
+    return {max_elements, max_elements, 1U << 26U, 1U << 26U, 0, max_depth};
+}
+
+template <typename Write>
+std::string packed(std::uint32_t fields, Write write) {
+    msgpack::sbuffer buf;
+    packer pack(buf);
+    pack.pack_array(fields + 1);
+    pack.pack(codec_version);
+    write(pack);
+    return {buf.data(), buf.size()};
+}
+
+/// Reads the elements of one array in order; a missing one or one of another type throws msgpack::type_error.
+class field_reader {
+public:
+    field_reader(const msgpack::object& from, std::uint32_t fields) {
+        if (from.type != msgpack::type::ARRAY || from.via.array.size != fields) {
+            throw msgpack::type_error();
+        }
+        at_ = from.via.array.ptr;
+    }
+
+    template <typename T>
+    T next() {
+        return (at_++)->as<T>();
+    }
+
+    const msgpack::object& next_object() { return *at_++; }
+
+    duration next_duration() { return duration(next<std::int64_t>()); }
+
+    template <typename Enum>
+    Enum next_enum(Enum last) {
+        const auto value = next<std::uint32_t>();
+        if (value > static_cast<std::uint32_t>(last)) {
+            throw msgpack::type_error();
+        }
+        return static_cast<Enum>(value);
+    }
+
+private:
+    const msgpack::object* at_ = nullptr;
+};
+
+template <typename T, typename Read>
+result<T> unpacked(std::string_view bytes, std::uint32_t fields, Read read) {
+    try {
+        const auto by_reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        const auto handle =
+            msgpack::unpack(bytes.data(), bytes.size(), by_reference, nullptr, decode_limits());
+        field_reader reader(handle.get(), fields + 1);
+        if (reader.next<std::uint32_t>() != codec_version) {
+            return make_error(error_kind::protocol_violation, "a message of another version");
+        }
+        return read(reader);
+    } catch (const std::exception& ec) {
+        return make_error(error_kind::protocol_violation,
+                          std::string("a message of the wrong form: ") + ec.what());
+    }
+}
+
+inline const msgpack::object_array& array_of(const msgpack::object& from) {
+    if (from.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    return from.via.array;
+}
+
+template <typename Read>
+auto read_list(const msgpack::object& from, std::uint32_t fields, Read read) {
+    const auto& list = array_of(from);
+    field_reader* none = nullptr;
+    std::vector<decltype(read(*none))> out;
+    out.reserve(list.size);
+    for (std::uint32_t it = 0; it < list.size; ++it) {
+        field_reader reader(list.ptr[it], fields);
+        out.push_back(read(reader));
+    }
+    return out;
+}
+
+} // namespace skylarkseam
