--- a/src/skylarkseam/cli/apply_command.cpp
+++ b/src/skylarkseam/cli/apply_command.cpp
@@ -1,114 +1,166 @@
-#include <skylarkseam/cli/command_line.hpp>
+#include <skylarkseam/cli/command_parts.hpp>
 #include <skylarkseam/cli/commands.hpp>
-#include <skylarkseam/cli/files.hpp>
-#include <skylarkseam/shell/platform_client.hpp>
+#include <skylarkseam/cli/confirmation.hpp>
+#include <skylarkseam/control/configuration_apply.hpp>
+#include <skylarkseam/shell/wakeup_timer.hpp>
 #include <skylarkseam/wire/configuration_json.hpp>
-#include <skylarkseam/wire/configuration_yaml.hpp>
 
+#include <charconv>
 #include <iostream>
 #include <random>
 
 namespace skylarkseam {
 namespace {
 
-platform_request head_request(platform_method method) {
-    platform_request request;
-    request.method = method;
-    request.kind = configuration_kind;
-    request.name = configuration_name;
-    return request;
-}
+constexpr duration confirmation_patience = seconds(10);
 
 std::string new_token() {
     std::random_device source;
-    return std::to_string(source()) + "-" + std::to_string(source());
+    std::string token;
+    for (int n = 0; n < 4; ++n) {
+        token += (token.empty() ? "" : "-") + std::to_string(source());
+    }
+    return token;
 }
 
-/// Reads the head, and replaces it on the condition that nobody else has.
+/// Runs one attempt on the event loop.
 class apply_run {
 public:
-    apply_run(std::string url, const configuration& config)
-        : platform_(http_, std::move(url))
-        , config_(config) {}
-
-    exit_code run() {
-        platform_.call(head_request(platform_method::get),
-                       [this](const platform_response& response) { update(response); });
-        loop_.run();
-        return code_;
+    apply_run(operator_session& session, configuration_apply attempt)
+        : session_(session)
+        , attempt_(std::move(attempt))
+        , timer_(session.loop(), [this] { on_time(); }) {}
+
+    apply_result run() {
+        std::vector<platform_call> calls;
+        attempt_.start(session_.loop().now(), calls);
+        go_on(calls);
+        session_.loop().run();
+        return *attempt_.result();
     }
 
 private:
-    void update(const platform_response& current) {
-        if (current.status == platform_status::not_found) {
-            write(head_request(platform_method::create), 0);
+    void go_on(const std::vector<platform_call>& calls) {
+        if (attempt_.result()) {
+            session_.loop().stop();
             return;
         }
-        if (current.status != platform_status::ok) {
-            end(exit_code::refused, "the platform cannot be read: " + current.detail);
-            return;
-        }
-        const auto head = json_configuration_codec().decode_head(current.objects.front().value_json);
-        if (!head) {
-            end(exit_code::refused, head.error().detail);
-            return;
+        for (const auto& it : calls) {
+            session_.platform().call(it.request, [this, id = it.id](platform_response answer) {
+                std::vector<platform_call> next;
+                attempt_.handle({id, std::move(answer)}, session_.loop().now(), next);
+                go_on(next);
+            });
         }
-        auto request = head_request(platform_method::update);
-        request.version = current.version;
-        write(request, head.value().generation);
+        timer_.set(attempt_.next_wakeup());
+    }
+
+    void on_time() {
+        std::vector<platform_call> next;
+        attempt_.handle_time(session_.loop().now(), next);
+        go_on(next);
+    }
+
+    operator_session& session_;
+    configuration_apply attempt_;
+    wakeup_timer timer_;
+};
+
+/// What a lost race means to the operator: what the other change did.
+void explain_race(operator_session& session, const apply_result& result) {
+    std::cerr << "nothing was applied: " << result.detail << "; generation " << result.generation
+              << " is in force\n";
+    if (!result.found || !result.base || result.found->generation == result.base->generation) {
+        return;
     }
+    const auto before = read_body(session, *result.base);
+    const auto after = read_body(session, *result.found);
+    if (before && after) {
+        std::cout << "changed from generation " << result.base->generation << " to "
+                  << result.found->generation << ":\n";
+        print_difference(*before.value().value, *after.value().value);
+    }
+}
 
-    void write(platform_request request, generation_id before) {
-        auto head = make_configuration_head(config_, new_token());
-        head.generation = before + 1;
-        request.value_json = json_configuration_codec().encode_head(head);
-        platform_.call(request, [this, before](const platform_response& response) {
-            if (response.status == platform_status::ok) {
-                std::cout << "generation " << before + 1 << '\n';
-                end(exit_code::done, {});
-            } else if (response.status == platform_status::unavailable && !response.not_sent) {
-                end(exit_code::unknown, "no answer came: whether it took effect is unknown");
-            } else {
-                end(exit_code::refused, "nothing was applied: " + response.detail);
-            }
-        });
+exit_code wait_until_confirmed(operator_session& session, generation_id generation) {
+    const auto behind = wait_for(session, generation, confirmation_patience);
+    for (const auto& it : behind) {
+        std::cerr << "not confirmed: " << to_string(it) << '\n';
     }
+    return behind.empty() ? exit_code::done : exit_code::refused;
+}
 
-    void end(exit_code code, const std::string& text) {
-        if (!text.empty()) {
-            std::cerr << text << '\n';
+exit_code report(operator_session& session, const apply_result& result, bool wait) {
+    switch (result.outcome) {
+    case apply_outcome::applied:
+    case apply_outcome::unchanged:
+        std::cout << "generation " << result.generation
+                  << (result.outcome == apply_outcome::unchanged ? " (unchanged)" : "") << '\n';
+        if (!result.detail.empty()) {
+            std::cerr << result.detail << '\n';
         }
-        code_ = code;
-        loop_.stop();
+        return wait ? wait_until_confirmed(session, result.generation) : exit_code::done;
+    case apply_outcome::lost_race:
+        explain_race(session, result);
+        return exit_code::refused;
+    case apply_outcome::refused:
+        std::cerr << "nothing was applied: " << result.detail << '\n';
+        return exit_code::refused;
+    case apply_outcome::unknown:
+        break;
     }
+    std::cerr << "it is unknown whether the change was applied: " << result.detail
+              << "; when the platform answers again, see `skylarkseam diff`\n";
+    return exit_code::unknown;
+}
 
-    event_loop loop_;
-    http_client http_{loop_};
-    platform_client platform_;
-    const configuration& config_;
-    exit_code code_ = exit_code::refused;
-};
+/// The generation that --expect names; false if it is no number.
+bool read_expected(const command_line& line, std::optional<generation_id>& out) {
+    if (!line.is_set("expect")) {
+        return true;
+    }
+    const auto text = line.value("expect");
+    generation_id value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    out = value;
+    return read.ec == std::errc{} && read.ptr == text.data() + text.size();
+}
 
 } // namespace
 
 exit_code apply_command(const arguments& args) {
     command_line line("skylarkseam apply", "Applies a configuration, whole or not at all.");
     line.add_required("f,file", "a YAML file, or a folder of them");
-    line.add_required("platform", "the platform's URL");
+    add_target_arguments(line);
+    line.add("expect", "refuse unless this generation is in force; 0 for none");
+    line.add_switch("wait", "wait until the nodes have it in force, and name those that have not");
     if (const auto ended = line.parse(args)) {
         return *ended;
     }
-    const auto sources = read_sources(line.value("file"));
-    if (!sources) {
-        std::cerr << sources.error().detail << '\n';
-        return exit_code::refused;
+    apply_options options;
+    options.token = new_token();
+    auto targets = read_targets(line);
+    if (!targets) {
+        std::cerr << targets.error().detail << '\n';
+        return exit_code::usage;
+    }
+    if (!read_expected(line, options.expected)) {
+        std::cerr << "--expect must be a generation\n";
+        return exit_code::usage;
+    }
+    if (line.is_set("wait") && targets.value().peers.empty()) {
+        std::cerr << "--wait needs nodes to ask, by --settings with seeds or by --peers\n";
+        return exit_code::usage;
     }
-    const auto checked = parse_configuration(sources.value());
-    if (!checked.faults.empty()) {
-        print_faults(checked.faults);
+    const auto config = read_configuration(line.value("file"));
+    if (!config) {
         return exit_code::refused;
     }
-    return apply_run(line.value("platform"), checked.value).run();
+    operator_session session(std::move(targets.value()));
+    configuration_apply attempt(json_configuration_codec(), encode_configuration(*config),
+                                std::move(options));
+    const auto result = apply_run(session, std::move(attempt)).run();
+    return report(session, result, line.is_set("wait"));
 }
 
 } // namespace skylarkseam
--- a/src/skylarkseam/control/configuration_follower.cpp
+++ b/src/skylarkseam/control/configuration_follower.cpp
@@ -343,7 +343,9 @@
                                                               std::vector<follower_output>& out) {
     if (const auto* it = std::get_if<digest>(&request)) {
         auto reply = impl_->own_digest();
-        impl_->learn_digest(*it, now, out);
+        if (!it->address.empty()) { // an operator's command asks without saying anything
+            impl_->learn_digest(*it, now, out);
+        }
         return reply;
     }
     if (const auto* it = std::get_if<configuration_message::parts_request>(&request)) {
--- a/src/skylarkseam/control/configuration_message.hpp
+++ b/src/skylarkseam/control/configuration_message.hpp
@@ -13,7 +13,8 @@
 /// What the sender has in force; the reply is the receiver's own.
 struct digest {
     std::string node;
-    std::string address; ///< of the sender, ip:port for messages between nodes
+    std::string
+        address; ///< of the sender, ip:port for messages between nodes; empty for an operator's command
     generation_id generation = 0;
     std::string hash; ///< of the body; empty with generation 0
     friend bool operator==(const digest&, const digest&) = default;
--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -18,7 +18,12 @@
 
 constexpr std::array commands{
     command{"node", &node_command, "run a node"},
+    command{"check", &check_command, "check configuration files"},
     command{"apply", &apply_command, "apply a configuration"},
+    command{"get", &get_command, "print the configuration in force"},
+    command{"diff", &diff_command, "print what applying would change"},
+    command{"status", &status_command, "print what is in force in the platform and at each node"},
+    command{"dump", &dump_command, "print a node's state"},
 };
 
 void print_help(std::ostream& out) {
