--- a/src/skylarkseam/cli/apply_command.cpp
+++ b/src/skylarkseam/cli/apply_command.cpp
@@ -114,16 +114,21 @@
     return exit_code::unknown;
 }
 
-/// The generation that --expect names; false if it is no number.
-bool read_expected(const command_line& line, std::optional<generation_id>& out) {
-    if (!line.is_set("expect")) {
+/// A whole number that an argument gives; false if it is none.
+template <typename Number>
+bool read_number(const command_line& line, const std::string& name, std::optional<Number>& out) {
+    if (!line.is_set(name)) {
         return true;
     }
-    const auto text = line.value("expect");
-    generation_id value = 0;
+    const auto text = line.value(name);
+    Number value = 0;
     const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
     out = value;
-    return read.ec == std::errc{} && read.ptr == text.data() + text.size();
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size()) {
+        std::cerr << "--" << name << " must be a whole number\n";
+        return false;
+    }
+    return true;
 }
 
 } // namespace
@@ -133,6 +138,7 @@
     line.add_required("f,file", "a YAML file, or a folder of them");
     add_target_arguments(line);
     line.add("expect", "refuse unless this generation is in force; 0 for none");
+    line.add("patience-ms", "how long to try, and to settle a lost answer; 15000 unless given");
     line.add_switch("wait", "wait until the nodes have it in force, and name those that have not");
     if (const auto ended = line.parse(args)) {
         return *ended;
@@ -144,10 +150,11 @@
         std::cerr << targets.error().detail << '\n';
         return exit_code::usage;
     }
-    if (!read_expected(line, options.expected)) {
-        std::cerr << "--expect must be a generation\n";
+    std::optional<std::uint32_t> patience_ms;
+    if (!read_number(line, "expect", options.expected) || !read_number(line, "patience-ms", patience_ms)) {
         return exit_code::usage;
     }
+    options.patience = patience_ms ? duration(milliseconds(*patience_ms)) : options.patience;
     if (line.is_set("wait") && targets.value().peers.empty()) {
         std::cerr << "--wait needs nodes to ask, by --settings with seeds or by --peers\n";
         return exit_code::usage;
--- a/tests/end_to_end/deployment.hpp
+++ b/tests/end_to_end/deployment.hpp
@@ -47,6 +47,7 @@
         return nodes_.at(name).callers;
     }
     [[nodiscard]] std::string admin_address(const std::string& name) const { return nodes_.at(name).admin; }
+    [[nodiscard]] std::string peers_address(const std::string& name) const { return nodes_.at(name).peers; }
     [[nodiscard]] std::string platform_url() const { return "http://" + platform_address_; }
     [[nodiscard]] std::string searchers_url() const { return "http://" + control_address_; }
     [[nodiscard]] std::string folder() const { return folder_; }
