A node is ready once it knows the owners; the end-to-end tests begin when all searchers are known

Cause: right after the start answers were partial, and said so: the owners had not asked their searchers yet. Change: healthz says starting until the cell's owners are known; the fixture waits for one whole answer of each node.

--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -129,6 +129,9 @@
         if (config_->generation == 0) {
             return make_error(error_kind::starting, "no configuration is in force yet");
         }
+        if (owners_->epoch == 0) {
+            return make_error(error_kind::starting, "the owners of the searchers are not known yet");
+        }
         if (configuration_.cut_off()) {
             return make_error(error_kind::cut_off, "neither the platform nor any peer was heard of late");
         }
--- a/tests/end_to_end/deployment.cpp
+++ b/tests/end_to_end/deployment.cpp
@@ -98,12 +98,17 @@
     return *it.process;
 }
 
+bool deployment::answers_whole(const std::string& name) {
+    const auto response = fetch(query(name, "search", "probe", "probe", "0"));
+    return response.body.find(R"("fraction":1.0)") != std::string::npos;
+}
+
 bool deployment::wait_until_ready(const std::string& name) {
     constexpr int most_tries = 1000;
     for (int it = 0; it < most_tries; ++it) {
         http_request request;
         request.url = "http://" + callers_address(name) + "/healthz";
-        if (fetch(std::move(request)).status == 200) {
+        if (fetch(std::move(request)).status == 200 && answers_whole(name)) {
             return true;
         }
         loop_.run_once(milliseconds(20));
--- a/tests/end_to_end/deployment.hpp
+++ b/tests/end_to_end/deployment.hpp
@@ -45,7 +45,8 @@
 
     child_process& start_node(const std::string& name, const std::string& zone);
     [[nodiscard]] child_process& node(const std::string& name) { return *nodes_.at(name).process; }
-    /// Waits until the node's health endpoint says it takes work.
+    /// Waits until the node's health endpoint says it takes work, and the owners of all searchers know what
+    /// these hold: until then its answers are partial, and say so.
     bool wait_until_ready(const std::string& name);
 
     [[nodiscard]] std::string callers_address(const std::string& name) const {
@@ -65,6 +66,7 @@
         std::string peers;
     };
 
+    [[nodiscard]] bool answers_whole(const std::string& name);
     [[nodiscard]] std::string path(const std::string& name) const { return folder_ + "/" + name; }
 
     std::string folder_;
