--- a/src/skylarkseam/core/hedge_delay.cpp
+++ b/src/skylarkseam/core/hedge_delay.cpp
@@ -21,7 +21,7 @@
 duration hedge_delay::delay(double percent, duration fallback) const {
     constexpr duration shortest = milliseconds(1);
     if (sketch_.samples() < fewest_samples) {
-        return fallback;
+        return std::max(shortest, fallback);
     }
     const double expected_part = std::clamp(part_of_budget * percent / 100.0, 0.0, 1.0);
     return std::max(shortest, sketch_.quantile(1.0 - expected_part));
--- a/src/skylarkseam/core/owned_searcher.hpp
+++ b/src/skylarkseam/core/owned_searcher.hpp
@@ -47,6 +47,7 @@
     }
     [[nodiscard]] std::uint32_t slots_now() const { return ramp_.limit(); }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+    [[nodiscard]] bool slots_are_cold() const { return ramp_.cold(); }
     [[nodiscard]] bool owned() const { return owned_; }
     [[nodiscard]] bool takes_work() const { return owned_ && configured_in_ && !draining_; }
     [[nodiscard]] const std::string& name() const { return name_; }
--- a/src/skylarkseam/core/owner.hpp
+++ b/src/skylarkseam/core/owner.hpp
@@ -119,6 +119,14 @@
     std::string last_reason; ///< why the limit is what it is
 };
 
+/// Counts since the start, for metrics and the state dump.
+struct owner_counters {
+    std::uint64_t dispatched = 0;
+    std::uint64_t refused = 0;         ///< before dispatch, so not run
+    std::uint64_t late_answers = 0;    ///< to dispatches whose slot was released before
+    std::uint64_t crossed_answers = 0; ///< that belong to another request
+};
+
 class owner {
 public:
     explicit owner(std::string self);
@@ -149,6 +157,7 @@
 
     [[nodiscard]] std::vector<owned_searcher_view> view() const;
     [[nodiscard]] std::size_t in_flight() const; ///< over all searchers
+    [[nodiscard]] const owner_counters& counters() const;
 
 private:
     struct impl;
