--- a/src/skylarkseam/core/group_state.cpp
+++ b/src/skylarkseam/core/group_state.cpp
@@ -154,9 +154,12 @@
     std::map<snapshot_id, std::uint32_t> holders;
     for (const auto& shard : map_->shards) {
         holders.clear();
+        // Where every replica is avoided, they count all the same: one of them may answer.
+        const bool any_usable = std::any_of(shard.copies.begin(), shard.copies.end(),
+                                            [&](auto copy) { return usable(copy.searcher, now); });
         std::uint32_t replicas = 0;
         for (const auto copy : shard.copies) {
-            if (!usable(copy.searcher, now)) {
+            if (any_usable ? !usable(copy.searcher, now) : !present(copy.searcher)) {
                 continue;
             }
             ++replicas;
--- a/src/skylarkseam/core/latency_jump.hpp
+++ b/src/skylarkseam/core/latency_jump.hpp
@@ -19,7 +19,7 @@
     [[nodiscard]] duration mean() const { return duration(static_cast<std::int64_t>(mean_us_)); }
 
 private:
-    static constexpr std::size_t window = 4;
+    static constexpr std::size_t window = 8;
     static constexpr std::size_t warm_up = 32; ///< answers before a jump can be told
     static constexpr double factor = 3.0;
     static constexpr double mean_gain = 1.0 / 64.0;
--- a/src/skylarkseam/core/query_run.cpp
+++ b/src/skylarkseam/core/query_run.cpp
@@ -11,8 +11,9 @@
 constexpr duration status_wait = milliseconds(50);
 constexpr std::uint8_t most_attempts_per_shard = 4;
 constexpr std::uint32_t most_replans = 2;
-constexpr duration refused_pause = milliseconds(50); ///< a replica that refused is not preferred for so long
-constexpr duration lost_pause = milliseconds(200);   ///< nor one that failed
+constexpr duration refused_interval = milliseconds(200); ///< between questions to an owner that refuses
+constexpr duration shed_pause = milliseconds(50);  ///< a replica that shed work is not preferred for so long
+constexpr duration lost_pause = milliseconds(200); ///< nor one that failed
 
 } // namespace
 
@@ -161,7 +162,8 @@
     case subquery_outcome::not_run_refused:
         close(*it, context, false);
         --maybe_run_;
-        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        // It may have refused this caller only; whether it takes work at all is for its owner to say.
+        context.services.request_status(owner, group_->name(), context.now, context.out, refused_interval);
         if (it->extra) {
             group_->load().budget.give_back();
         }
@@ -177,7 +179,7 @@
     case subquery_outcome::not_run_shed:
         close(*it, context, false);
         --maybe_run_;
-        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        group_->avoid(it->copy.searcher, context.now + shed_pause);
         on_failed_attempt(*it, retry_price::paid, context);
         break;
     case subquery_outcome::failed:
--- a/src/skylarkseam/core/run_context.hpp
+++ b/src/skylarkseam/core/run_context.hpp
@@ -58,9 +58,9 @@
         : self(std::move(name))
         , replicas(seed) {}
 
-    /// Asks an owner for what its searchers of a group hold, unless it was asked just now.
+    /// Asks an owner for what its searchers of a group hold, unless it was asked within `interval`.
     void request_status(std::uint32_t owner, const std::string& group, time_point now,
-                        std::vector<coordinator_output>& out);
+                        std::vector<coordinator_output>& out, duration interval = milliseconds(20));
 };
 
 struct run_context {
--- a/tests/core/coordinator_test.cpp
+++ b/tests/core/coordinator_test.cpp
@@ -194,6 +194,43 @@
     BOOST_TEST(it.answers.front().answer.value().hits.empty());
 }
 
+BOOST_AUTO_TEST_CASE(plans_the_next_query_at_once_though_every_replica_has_just_refused_or_failed) {
+    fixture it;
+    it.learn({5});
+    query_id id = 0;
+    for (const auto outcome : {subquery_outcome::not_run_refused, subquery_outcome::not_run_shed,
+                               subquery_outcome::failed, subquery_outcome::failed}) {
+        it.sent.clear();
+        it.ask(++id);
+        BOOST_TEST_REQUIRE(it.sent.size() == 1U);
+        for (std::size_t batch = 0; batch < it.sent.size(); ++batch) {
+            const auto sent = it.sent.at(batch).batch;
+            for (std::size_t n = 0; n < sent.subqueries.size(); ++n) {
+                auto reply = fixture::reply_to(sent, n);
+                reply.outcome = outcome;
+                it.handle(coordinator_event::reply_arrived{owner_name(0), reply});
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answers_not_run_at_once_when_every_replica_refuses) {
+    fixture it;
+    it.learn({5});
+    it.ask(1);
+    for (std::size_t batch = 0; batch < it.sent.size(); ++batch) {
+        const auto sent = it.sent.at(batch).batch;
+        for (std::size_t n = 0; n < sent.subqueries.size(); ++n) {
+            auto reply = fixture::reply_to(sent, n);
+            reply.outcome = subquery_outcome::not_run_refused;
+            it.handle(coordinator_event::reply_arrived{owner_name(0), reply});
+        }
+    }
+    BOOST_TEST_REQUIRE(it.answers.size() == 1U);
+    BOOST_TEST((it.answers.front().answer.error().kind == error_kind::overloaded));
+    BOOST_TEST((it.answers.front().answer.error().ran == run_state::no));
+}
+
 BOOST_AUTO_TEST_SUITE(with_an_effect)
 
 BOOST_AUTO_TEST_CASE(sends_one_subquery_once_and_counts_its_shard_alone) {
