Judge replicas by service time and by turns, not by another caller's queue

Now a replica's latency is the searcher's service time, and in the estimate each other caller counts one turn, as the owner's queue serves it.

--- a/src/skylarkseam/core/effect_run.cpp
+++ b/src/skylarkseam/core/effect_run.cpp
@@ -18,6 +18,7 @@
     : id_(id)
     , request_(std::move(request))
     , group_(std::move(group))
+    , caller_key_(name_hash(request_.caller))
     , cls_(request_.cls.value_or(settings.cls)) {
     const auto total = std::min(request_.deadline.value_or(settings.deadline), settings.deadline);
     hop_reserve_ = std::min(longest_reserve, total / smallest_part) / 2;
@@ -56,7 +57,8 @@
     const auto* shard = pick_shard();
     auto& services = context.services;
     const auto snapshot = group_->choose_snapshot(context.now).snapshot;
-    const auto copy = services.replicas.pick(*group_, services.owners, *shard, snapshot, {}, context.now);
+    const auto copy =
+        services.replicas.pick(*group_, services.owners, *shard, snapshot, {}, caller_key_, context.now);
     if (snapshot == 0 || !copy) {
         return false;
     }
@@ -66,7 +68,7 @@
     shard_ = shard->shard;
     owner_ = group_->replica(copy_.searcher).owner;
     next_check_ = answer_at_;
-    group_->replica(copy_.searcher).stats.on_sent();
+    group_->replica(copy_.searcher).stats.on_sent(caller_key_);
     ++services.counters.first_attempts;
     subquery_batch batch;
     batch.query = id_;
@@ -90,7 +92,7 @@
         return;
     }
     auto& stats = group_->replica(copy_.searcher).stats;
-    stats.on_ended();
+    stats.on_ended(caller_key_);
     group_->learn_held(copy_, reply.held);
     const auto refuse = [&](error_kind kind, run_state ran) { fail(context, {kind, reply.detail, ran}); };
     switch (reply.outcome) {
@@ -145,7 +147,7 @@
     if (!sent_ || owner != owner_) {
         return;
     }
-    group_->replica(copy_.searcher).stats.on_ended();
+    group_->replica(copy_.searcher).stats.on_ended(caller_key_);
     if (event.sent) {
         fail(context, make_error(error_kind::outcome_unknown, "the owner was lost under the request"));
     } else {
@@ -162,7 +164,7 @@
         return;
     }
     if (sent_) {
-        group_->replica(copy_.searcher).stats.on_ended();
+        group_->replica(copy_.searcher).stats.on_ended(caller_key_);
         fail(context, make_error(error_kind::outcome_unknown, "no answer by the deadline"));
         return;
     }
--- a/src/skylarkseam/core/effect_run.hpp
+++ b/src/skylarkseam/core/effect_run.hpp
@@ -37,6 +37,7 @@
     query_id id_;
     query_request request_;
     std::shared_ptr<group_state> group_;
+    std::uint64_t caller_key_ = 0;
     request_class cls_;
     time_point answer_at_{};
     duration hop_reserve_{};
--- a/src/skylarkseam/core/query_run.cpp
+++ b/src/skylarkseam/core/query_run.cpp
@@ -1,4 +1,5 @@
 #include <skylarkseam/core/query_run.hpp>
+#include <skylarkseam/core/rendezvous.hpp>
 
 #include <algorithm>
 
@@ -25,7 +26,7 @@
     , minimum_coverage_(settings.minimum_coverage)
     , budget_percent_(settings.hedge_budget_percent)
     , cls_(request_.cls.value_or(settings.cls))
-    , arrived_(arrived)
+    , caller_key_(name_hash(request_.caller))
     , hits_(request_.limit) {
     const auto total = std::min(request_.deadline.value_or(settings.deadline), settings.deadline);
     answer_at_ = arrived + total - std::min(longest_answer_reserve, total / smallest_part);
@@ -95,7 +96,7 @@
     auto& services = context.services;
     const auto& mapped = group_->map().shards[shard];
     const auto copy =
-        services.replicas.pick(*group_, services.owners, mapped, snapshot_, tried_, context.now);
+        services.replicas.pick(*group_, services.owners, mapped, snapshot_, tried_, caller_key_, context.now);
     if (!copy) {
         return false;
     }
@@ -110,7 +111,7 @@
     ++progress.attempts;
     ++progress.open_attempts;
     progress.hedge_at = context.now + current_hedge_delay(context.now);
-    replica.stats.on_sent();
+    replica.stats.on_sent(caller_key_);
     ++maybe_run_;
     auto& batch = services.batches.batch_for(replica.owner, services.owners.name(replica.owner),
                                              [&](subquery_batch& it) { fill_header(it, context); });
@@ -205,7 +206,7 @@
 void query_run::merge(attempt& it, subquery_reply& reply, run_context& context) {
     const auto latency = context.now - it.sent_at;
     auto& stats = group_->replica(it.copy.searcher).stats;
-    stats.on_latency(latency, context.now);
+    stats.on_latency(reply.service, context.now);
     stats.on_success();
     group_->load().latency.add(latency);
     close(it, context, false);
@@ -221,7 +222,7 @@
     it.open = false;
     --shards_[it.shard].open_attempts;
     auto& stats = group_->replica(it.copy.searcher).stats;
-    stats.on_ended();
+    stats.on_ended(caller_key_);
     if (slow) {
         const auto elapsed = context.now - it.sent_at;
         stats.on_latency(elapsed, context.now);
--- a/src/skylarkseam/core/query_run.hpp
+++ b/src/skylarkseam/core/query_run.hpp
@@ -90,7 +90,7 @@
     double minimum_coverage_ = 0.0;
     double budget_percent_ = 0.0;
     request_class cls_ = request_class::interactive;
-    time_point arrived_{};
+    std::uint64_t caller_key_ = 0;
     time_point answer_at_{}; ///< when the caller gets what there is
     duration hop_reserve_{}; ///< kept of an owner's deadline for its reply
     time_point next_check_{};
--- a/src/skylarkseam/core/replica_choice.cpp
+++ b/src/skylarkseam/core/replica_choice.cpp
@@ -6,7 +6,8 @@
 
 std::optional<shard_copy> replica_choice::pick(const group_state& group, const owner_table& owners,
                                                const mapped_shard& shard, snapshot_id snapshot,
-                                               std::span<const std::uint32_t> tried, time_point now) {
+                                               std::span<const std::uint32_t> tried, std::uint64_t caller,
+                                               time_point now) {
     likely_.clear();
     unlikely_.clear();
     for (const auto copy : shard.copies) {
@@ -30,7 +31,7 @@
     const auto second = (first + 1 + random_(count - 1)) % count;
     const auto usual = group.load().usual();
     const auto expected = [&](std::uint32_t n) {
-        return group.replica(from[n].searcher).stats.expected_us(usual, now);
+        return group.replica(from[n].searcher).stats.expected_us(usual, now, caller);
     };
     return expected(first) <= expected(second) ? from[first] : from[second];
 }
--- a/src/skylarkseam/core/replica_choice.hpp
+++ b/src/skylarkseam/core/replica_choice.hpp
@@ -15,11 +15,13 @@
     explicit replica_choice(std::uint64_t seed)
         : random_(seed) {}
 
-    /// \param tried  searchers that are not to be picked again
+    /// \param tried   searchers that are not to be picked again
+    /// \param caller  hash of the caller's name
     /// \return a copy whose searcher holds the snapshot and may get work, or nothing
     std::optional<shard_copy> pick(const group_state& group, const owner_table& owners,
                                    const mapped_shard& shard, snapshot_id snapshot,
-                                   std::span<const std::uint32_t> tried, time_point now);
+                                   std::span<const std::uint32_t> tried, std::uint64_t caller,
+                                   time_point now);
 
 private:
     pcg32 random_;
