Let callers under their floor use what floors keep, and forgive the debts of idle callers

Cause: with fractional floors the callers blocked each other from the slots that their floors keep in common, and a caller whose one request was costly had to sit out rounds though it left its turns unused.

--- a/src/skylarkseam/core/fair_queue.cpp
+++ b/src/skylarkseam/core/fair_queue.cpp
@@ -130,7 +130,8 @@
     }
     caller->deficit_us = std::max(caller->deficit_us, -deepest_debt_quanta * quantum_us(*caller));
     if (caller->queued == 0) {
-        caller->deficit_us = std::min(caller->deficit_us, 0.0);
+        // A caller that leaves its turns unused owes at most one of them.
+        caller->deficit_us = std::clamp(caller->deficit_us, -quantum_us(*caller), 0.0);
         forget_idle_callers();
     }
 }
@@ -241,7 +242,7 @@
 
 bool fair_queue::may_use_slot(const caller_state& it, std::uint32_t free, std::uint32_t slots) const {
     const auto all = static_cast<double>(slots);
-    if (static_cast<double>(it.in_flight) + 1.0 <= it.floor * all + rounding) {
+    if (static_cast<double>(it.in_flight) + rounding < it.floor * all) {
         return true;
     }
     double kept = 0.0;
--- /dev/null
+++ b/tests/core/fair_queue_test.cpp
@@ -0,0 +1,126 @@
+// The queue before one searcher: shares by weight, floors, classes, and nobody starved.
+#include "../support/sharing_experiment.hpp"
+
+#include <skylarkseam/core/fair_queue.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+/// Serves one item at a time from callers that always have more, and adds up what each was given.
+std::map<std::string, double> serve(fair_queue& queue, const std::map<std::string, duration>& costs,
+                                    int turns) {
+    std::map<std::string, double> used;
+    for (int n = 0; n < turns; ++n) {
+        for (const auto& [caller, cost] : costs) {
+            while (queue.queued_of(caller) < 2) {
+                queue.push(caller, request_class::interactive, 0);
+            }
+        }
+        const auto next = queue.pop(1, 1);
+        BOOST_TEST_REQUIRE(next.has_value());
+        const auto cost = costs.at(next->caller->name);
+        used[next->caller->name] += static_cast<double>(cost.count());
+        queue.finished(next->caller, next->charged, cost);
+    }
+    return used;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_fair_queue)
+
+BOOST_AUTO_TEST_CASE(shares_slot_time_by_weight_whatever_a_request_costs) {
+    fair_queue queue;
+    const sharing_rule rule{"shares", "alerts", {{"cheap", 1, 0.0, 0}, {"dear", 3, 0.0, 0}}};
+    queue.set_rule(&rule);
+    const auto used = serve(queue, {{"cheap", milliseconds(2)}, {"dear", milliseconds(50)}}, 20000);
+    const double share = used.at("dear") / (used.at("dear") + used.at("cheap"));
+    BOOST_TEST(share > 0.75 * 0.95);
+    BOOST_TEST(share < 0.75 * 1.05);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_slots_of_floors_from_callers_beyond_their_own) {
+    fair_queue queue;
+    const sharing_rule rule{
+        "shares", "alerts", {{"flooder", 1, 0.0, 0}, {"a", 1, 0.25, 0}, {"b", 1, 0.25, 0}}};
+    queue.set_rule(&rule);
+    for (fair_queue::item n = 0; n < 8; ++n) {
+        queue.push("flooder", request_class::urgent, n);
+    }
+    BOOST_TEST(queue.pop(4, 4).has_value());
+    BOOST_TEST(queue.pop(3, 4).has_value());
+    BOOST_TEST(!queue.pop(2, 4).has_value());
+    queue.push("a", request_class::deferrable, 8);
+    queue.push("b", request_class::deferrable, 9);
+    const std::set<std::string> served{queue.pop(2, 4).value().caller->name,
+                                       queue.pop(1, 4).value().caller->name};
+    BOOST_TEST((served == std::set<std::string>{"a", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(lets_each_caller_under_its_floor_use_what_floors_keep_in_common) {
+    fair_queue queue;
+    sharing_rule rule{"shares", "alerts", {}};
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        rule.callers.push_back({name, 1, 0.125, 0}); // half a slot of four each
+    }
+    queue.set_rule(&rule);
+    queue.push("a", request_class::interactive, 0);
+    queue.push("b", request_class::interactive, 1);
+    BOOST_TEST(queue.pop(2, 4).has_value());
+    BOOST_TEST(queue.pop(1, 4).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(serves_urgent_first_but_gives_a_callers_deferrable_work_its_minimum) {
+    fair_queue queue;
+    int deferrable = 0;
+    constexpr int turns = 1000;
+    constexpr fair_queue::item waits = 1;
+    for (int n = 0; n < turns; ++n) {
+        queue.push("crew", request_class::urgent, 0);
+        queue.push("crew", request_class::deferrable, waits);
+        const auto next = queue.pop(1, 1);
+        deferrable += next->it == waits ? 1 : 0;
+        queue.finished(next->caller, next->charged, milliseconds(1));
+    }
+    BOOST_TEST(deferrable >= turns / 25);
+    BOOST_TEST(deferrable <= turns / 10);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_a_flooding_caller)
+
+BOOST_AUTO_TEST_CASE(the_others_p99_moves_by_at_most_ten_percent_at_the_consorzios_size) {
+    sharing_settings settings;
+    settings.kept = 2;
+    const auto calm = sharing_experiment(settings).run();
+    settings.flood = 2.0;
+    const auto flooded = sharing_experiment(settings).run();
+    BOOST_TEST(flooded.p99.count() * 10 <= calm.p99.count() * 11);
+    BOOST_TEST(flooded.steady_refused == 0.0);
+    BOOST_TEST(flooded.refused_part > 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(shares_are_within_five_percent_of_the_rule_when_all_flood) {
+    sharing_settings settings;
+    settings.slots = 2;
+    settings.callers = 5;
+    settings.kept = 0;
+    settings.flood = 0.5;
+    settings.all_flood = true;
+    settings.weights = {1, 2, 3, 1, 2};
+    const auto it = sharing_experiment(settings).run();
+    for (std::size_t n = 0; n < settings.weights.size(); ++n) {
+        const double rule = settings.weights[n] / 9.0;
+        BOOST_TEST(it.shares[n] >= rule * 0.95);
+        BOOST_TEST(it.shares[n] <= rule * 1.05);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
