--- a/src/skylarkseam/core/query_run.cpp
+++ b/src/skylarkseam/core/query_run.cpp
@@ -1,4 +1,5 @@
 #include <skylarkseam/core/query_run.hpp>
+#include <skylarkseam/core/rendezvous.hpp>
 
 #include <algorithm>
 
@@ -11,8 +12,9 @@
 constexpr duration status_wait = milliseconds(50);
 constexpr std::uint8_t most_attempts_per_shard = 4;
 constexpr std::uint32_t most_replans = 2;
-constexpr duration refused_pause = milliseconds(50); ///< a replica that refused is not preferred for so long
-constexpr duration lost_pause = milliseconds(200);   ///< nor one that failed
+constexpr duration refused_interval = milliseconds(200); ///< between questions to an owner that refuses
+constexpr duration shed_pause = milliseconds(50);  ///< a replica that shed work is not preferred for so long
+constexpr duration lost_pause = milliseconds(200); ///< nor one that failed
 
 } // namespace
 
@@ -24,7 +26,7 @@
     , minimum_coverage_(settings.minimum_coverage)
     , budget_percent_(settings.hedge_budget_percent)
     , cls_(request_.cls.value_or(settings.cls))
-    , arrived_(arrived)
+    , caller_key_(name_hash(request_.caller))
     , hits_(request_.limit) {
     const auto total = std::min(request_.deadline.value_or(settings.deadline), settings.deadline);
     answer_at_ = arrived + total - std::min(longest_answer_reserve, total / smallest_part);
@@ -94,7 +96,7 @@
     auto& services = context.services;
     const auto& mapped = group_->map().shards[shard];
     const auto copy =
-        services.replicas.pick(*group_, services.owners, mapped, snapshot_, tried_, context.now);
+        services.replicas.pick(*group_, services.owners, mapped, snapshot_, tried_, caller_key_, context.now);
     if (!copy) {
         return false;
     }
@@ -109,7 +111,7 @@
     ++progress.attempts;
     ++progress.open_attempts;
     progress.hedge_at = context.now + current_hedge_delay(context.now);
-    replica.stats.on_sent();
+    replica.stats.on_sent(caller_key_);
     ++maybe_run_;
     auto& batch = services.batches.batch_for(replica.owner, services.owners.name(replica.owner),
                                              [&](subquery_batch& it) { fill_header(it, context); });
@@ -161,7 +163,8 @@
     case subquery_outcome::not_run_refused:
         close(*it, context, false);
         --maybe_run_;
-        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        // It may have refused this caller only; whether it takes work at all is for its owner to say.
+        context.services.request_status(owner, group_->name(), context.now, context.out, refused_interval);
         if (it->extra) {
             group_->load().budget.give_back();
         }
@@ -177,7 +180,7 @@
     case subquery_outcome::not_run_shed:
         close(*it, context, false);
         --maybe_run_;
-        group_->avoid(it->copy.searcher, context.now + refused_pause);
+        group_->avoid(it->copy.searcher, context.now + shed_pause);
         on_failed_attempt(*it, retry_price::paid, context);
         break;
     case subquery_outcome::failed:
@@ -203,7 +206,7 @@
 void query_run::merge(attempt& it, subquery_reply& reply, run_context& context) {
     const auto latency = context.now - it.sent_at;
     auto& stats = group_->replica(it.copy.searcher).stats;
-    stats.on_latency(latency, context.now);
+    stats.on_latency(reply.service, context.now);
     stats.on_success();
     group_->load().latency.add(latency);
     close(it, context, false);
@@ -219,7 +222,7 @@
     it.open = false;
     --shards_[it.shard].open_attempts;
     auto& stats = group_->replica(it.copy.searcher).stats;
-    stats.on_ended();
+    stats.on_ended(caller_key_);
     if (slow) {
         const auto elapsed = context.now - it.sent_at;
         stats.on_latency(elapsed, context.now);
