--- a/standin/searcher.cpp
+++ b/standin/searcher.cpp
@@ -1,6 +1,7 @@
 #include "standin/searcher.hpp"
 
 #include "standin/hits.hpp"
+#include "standin/searcher_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -72,32 +73,6 @@
     return hits;
 }
 
-json run_json(const run_record& it) {
-    json out{{"request_id", it.request_id}, {"shard", it.shard},
-             {"snapshot", it.snapshot},     {"started_us", it.started.time_since_epoch().count()},
-             {"in_flight", it.in_flight},   {"bears", it.bears}};
-    if (!it.key.empty()) {
-        out["key"] = it.key;
-    }
-    return out;
-}
-
-json counters_json(const searcher_counters& it) {
-    return {{"arrived", it.arrived},
-            {"started", it.started},
-            {"finished", it.finished},
-            {"shed", it.shed},
-            {"cancelled_queued", it.cancelled_queued},
-            {"cancelled_running", it.cancelled_running},
-            {"cut", it.cut},
-            {"stragglers", it.stragglers},
-            {"cold_violations", it.cold_violations},
-            {"cold_violations_after_sign", it.cold_violations_after_sign},
-            {"arrivals_while_out", it.arrivals_while_out},
-            {"peak_in_flight", it.peak_in_flight},
-            {"connections_refused", it.connections_refused}};
-}
-
 } // namespace
 
 struct searcher_front::impl {
@@ -287,24 +262,7 @@
 }
 
 front_response searcher_front::impl::record(bool with_runs) const {
-    json body{{"name", model.options().name},
-              {"availability_zone", model.options().zone},
-              {"now_us", loop.now().time_since_epoch().count()},
-              {"boot_id", model.boot_id()},
-              {"state", name_of(model.state(loop.now()))},
-              {"in_flight", model.in_flight()},
-              {"queued", model.queued()},
-              {"connections", front.connections()},
-              {"counters", counters_json(model.counters())},
-              {"runs_by_key", model.runs_by_key()}};
-    if (with_runs) {
-        auto runs = json::array();
-        for (const auto& it : model.runs()) {
-            runs.push_back(run_json(it));
-        }
-        body["runs"] = std::move(runs);
-    }
-    return {200, body.dump()};
+    return {200, record_json(model, loop.now(), front.connections(), with_runs)};
 }
 
 front_response searcher_front::impl::control(const json& body) {
--- a/tests/standin/load_test.cpp
+++ b/tests/standin/load_test.cpp
@@ -2,6 +2,7 @@
 #include "standin/answer_check.hpp"
 #include "standin/hits.hpp"
 #include "standin/load_plan.hpp"
+#include "standin/load_report.hpp"
 #include "standin/load_statistics.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -129,6 +130,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(sends_to_loopback_addresses_only) {
+    BOOST_TEST(is_loopback("127.0.0.1:80"));
+    BOOST_TEST(!is_loopback("10.0.0.1:80"));
+    BOOST_TEST(!is_loopback("127.example.org:80"));
+    BOOST_TEST(!is_loopback("localhost:80"));
+}
+
+BOOST_AUTO_TEST_CASE(writes_a_report_that_refers_to_nothing_outside_itself) {
+    load_report report;
+    report.statistics.add({milliseconds(1500), milliseconds(5), "a", load_result::answered, "", "", 0.5, 8});
+    report.upstreams = upstream_load{.started = 10};
+    const auto html = to_html(report, "t");
+    BOOST_TEST(html.find("<polyline") != std::string::npos);
+    BOOST_TEST(html.find("src=") == std::string::npos);
+    BOOST_TEST(html.find("href=") == std::string::npos);
+    const auto figures = json::parse(to_json(report));
+    BOOST_TEST(figures["upstreams"]["extra_load_percent"].get<double>() == 25.0);
+    BOOST_TEST(figures["by_second"][0]["second"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(learns_the_shards_of_a_service_from_the_configuration) {
     const auto services = services_in("kind: upstream_group\nname: g\nsearchers:\n"
                                       "  - {name: a, shards: [2, 0]}\n  - {name: b, shards: [1, 2]}\n"
