--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -184,6 +184,9 @@
     }
     const auto& self = nodes[from].self;
     cell_envelope message{"cell0", self.node, self.incarnation, self.peer_address, action.body};
+    if (on_message) {
+        on_message(message);
+    }
     if (auto* renewed = std::get_if<cell_message::renewed>(&message.body);
         renewed != nullptr && options_.without_guard_wait) {
         drop_waits(renewed->record);
@@ -221,7 +224,10 @@
 
 void cell_simulation::call_platform(std::size_t from, platform_call_id call,
                                     std::optional<cell_action::write_record> write) {
-    ++platform.calls;
+    ++(write ? platform.writes : platform.reads);
+    if (write && on_write) {
+        on_write(write->record);
+    }
     const auto life = nodes[from].life;
     const auto half = platform.latency / 2 + microseconds(random(500));
     schedule(now_ + half, [this, from, call, life, half, write = std::move(write)] {
--- a/tests/control/cell_simulation.hpp
+++ b/tests/control/cell_simulation.hpp
@@ -21,7 +21,8 @@
     bool throttled = false;
     int lose_answers_percent = 0; ///< of updates that took effect
     duration latency = milliseconds(4);
-    std::uint64_t calls = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
     std::vector<epoch_id> epochs; ///< each epoch written, in order
 };
 
@@ -89,7 +90,9 @@
     std::uint64_t messages = 0;
     std::uint64_t wakeups = 0; ///< of all nodes' timers
     std::uint64_t message_loss_percent = 0;
-    std::size_t served_samples = 0; ///< searchers served, summed over samples
+    std::function<void(const cell_envelope&)> on_message; ///< sees each message between nodes
+    std::function<void(const cell_record&)> on_write;     ///< sees each update sent to the platform
+    std::size_t served_samples = 0;                       ///< searchers served, summed over samples
     std::size_t samples = 0;
     duration unserved_longest{}; ///< longest time in a row with any searcher unserved
     pcg32 random;
