Count a member as gone when the platform has long dropped its host

A holder that lacks votes now asks for the platform's list of hosts; a silent member that is not listed for 30 s counts as a vote. A list that does not name this node's own host proves nothing. Tests: all nodes replaced at once by new hosts, all restarted at once, and a list under other names.

--- a/src/skylarkseam/control/cell.cpp
+++ b/src/skylarkseam/control/cell.cpp
@@ -56,6 +56,11 @@
 void cell::impl::dispatch(cell_input& event) {
     std::visit(overloaded{
                    [&](cell_event::platform_answered& it) { on_platform(it); },
+                   [&](cell_event::hosts_listed& it) {
+                       if (is_holder) {
+                           holder.on_hosts(it.hosts);
+                       }
+                   },
                    [&](cell_event::message_arrived& it) { on_message(it.message); },
                    [&](cell_event::configuration_changed& it) {
                        state.config = std::move(it.config);
--- a/src/skylarkseam/control/cell.hpp
+++ b/src/skylarkseam/control/cell.hpp
@@ -8,6 +8,7 @@
 #include <skylarkseam/core/platform_object.hpp>
 
 #include <memory>
+#include <set>
 
 namespace skylarkseam {
 
@@ -25,6 +26,10 @@
     record_version version = 0;
     std::optional<cell_record> record; ///< where the status is ok; nothing if it cannot be decoded
 };
+/// The platform's list of hosts.
+struct hosts_listed {
+    std::set<std::string> hosts;
+};
 struct message_arrived {
     cell_envelope message;
 };
@@ -40,9 +45,10 @@
 struct time_passed {};
 } // namespace cell_event
 
-using cell_input = std::variant<cell_event::platform_answered, cell_event::message_arrived,
-                                cell_event::configuration_changed, cell_event::searcher_drained,
-                                cell_event::leave_requested, cell_event::time_passed>;
+using cell_input =
+    std::variant<cell_event::platform_answered, cell_event::hosts_listed, cell_event::message_arrived,
+                 cell_event::configuration_changed, cell_event::searcher_drained, cell_event::leave_requested,
+                 cell_event::time_passed>;
 
 namespace cell_action {
 struct read_record {
@@ -54,6 +60,8 @@
     record_version version = 0;
     cell_record record;
 };
+/// Asks for the platform's list of hosts; only its success is reported back.
+struct list_hosts {};
 struct send_message {
     std::string address; ///< ip:port of the peer
     cell_message_body body;
@@ -74,7 +82,7 @@
 struct left {};
 } // namespace cell_action
 
-using cell_output = std::variant<cell_action::read_record, cell_action::write_record,
+using cell_output = std::variant<cell_action::read_record, cell_action::write_record, cell_action::list_hosts,
                                  cell_action::send_message, cell_action::ownership_changed,
                                  cell_action::serve, cell_action::authority_changed, cell_action::left>;
 
@@ -102,6 +110,7 @@
 struct cell_counters {
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
+    std::uint64_t host_lists = 0;
     std::uint64_t messages = 0;
     std::uint64_t takeovers = 0;
     std::uint64_t epochs = 0; ///< changed by this node
--- a/src/skylarkseam/control/cell_holder.cpp
+++ b/src/skylarkseam/control/cell_holder.cpp
@@ -47,7 +47,7 @@
         break;
     case phase::voting:
         if (in_phase >= state_.timing().probe_timeout) {
-            phase_ = phase::idle;
+            give_up_vote();
         }
         break;
     }
--- a/src/skylarkseam/control/cell_holder.hpp
+++ b/src/skylarkseam/control/cell_holder.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <skylarkseam/control/cell_state.hpp>
+#include <skylarkseam/control/host_absence.hpp>
 
 #include <set>
 
@@ -11,7 +12,8 @@
 class cell_holder {
 public:
     explicit cell_holder(cell_state& state)
-        : state_(state) {}
+        : state_(state)
+        , absence_(state.timing()) {}
 
     /// Takes the duty over.
     /// \param former       the holder that fell silent; empty if it handed the duty over
@@ -24,6 +26,7 @@
     void on_alive(const cell_envelope& from, const cell_message::alive& body);
     void on_join(const cell_envelope& from, const cell_message::join& body);
     void on_vote(const cell_envelope& from, const cell_message::vote& body);
+    void on_hosts(const std::set<std::string>& hosts);
 
     /// Tells the members what an update has brought them. \param new_epoch  the record goes with it
     void announce(const write_attempt& own, bool new_epoch);
@@ -65,6 +68,7 @@
 
     void begin_vote();
     void count_votes();
+    void give_up_vote();
     void write_epoch();
     void admit_joined();
 
@@ -82,6 +86,8 @@
     std::map<std::string, joining_node> joining_;
     std::set<std::string> votes_;
     record_version vote_version_ = 0;
+    host_absence absence_;
+    time_point next_host_list_{};
     std::map<std::string, member> announced_to_; ///< members of the epoch before the latest change
 };
 
--- a/src/skylarkseam/control/cell_holder_epoch.cpp
+++ b/src/skylarkseam/control/cell_holder_epoch.cpp
@@ -41,12 +41,15 @@
 }
 
 /// Whether a member's process has certainly ended, long enough ago for its promises to be over: the same node
-/// runs again.
+/// runs again, or the platform has long dropped its host.
 bool cell_holder::is_gone(const member& it) const {
     if (it.node == state_.self().node) {
         return it.incarnation < state_.self().incarnation &&
                state_.now - duty_since_ >= lengthened(state_.timing(), state_.timing().promise);
     }
+    if (is_silent(it) && absence_.proves_end(it.node, state_.now)) {
+        return true;
+    }
     const auto found = joining_.find(it.node);
     return found != joining_.end() && found->second.node.incarnation > it.incarnation &&
            state_.now - found->second.first >= lengthened(state_.timing(), state_.timing().promise);
@@ -125,6 +128,24 @@
     }
 }
 
+/// Too few members have voted: perhaps those that are missing have ended for good.
+void cell_holder::give_up_vote() {
+    phase_ = phase::idle;
+    if (state_.now >= next_host_list_) {
+        next_host_list_ = state_.now + state_.timing().host_list_interval;
+        ++state_.counters.host_lists;
+        state_.out->emplace_back(cell_action::list_hosts{});
+    }
+}
+
+void cell_holder::on_hosts(const std::set<std::string>& hosts) {
+    std::set<std::string> nodes;
+    for (const auto& it : state_.record->owners.members) {
+        nodes.insert(it.node);
+    }
+    absence_.take(hosts, nodes, state_.self().node, state_.now);
+}
+
 void cell_holder::write_epoch() {
     if (!state_.writer.ready(state_.now) || state_.version != vote_version_) {
         return;
--- a/src/skylarkseam/control/cell_timing.hpp
+++ b/src/skylarkseam/control/cell_timing.hpp
@@ -34,6 +34,9 @@
     duration failed_check_interval = milliseconds(3000); ///< the same, while it does not
     duration join_interval = milliseconds(500);
     duration release_interval = milliseconds(200);
+    duration host_list_interval =
+        seconds(5);                      ///< between looks at the platform's hosts while votes are missing
+    duration host_absence = seconds(30); ///< a host not listed for as long has ended; the list's longest lag
     duration work_grace = milliseconds(100); ///< work at a searcher may outlast its deadline by as much
     int clock_margin_percent = 1;            ///< by which two steady clocks may differ in rate
     promise_rule rule = promise_rule::majority;
--- a/src/skylarkseam/shell/membership_runner.cpp
+++ b/src/skylarkseam/shell/membership_runner.cpp
@@ -107,6 +107,21 @@
     call_platform(action.call, request);
 }
 
+void membership_runner::perform(cell_action::list_hosts&) {
+    platform_request request;
+    request.method = platform_method::list_hosts;
+    platform_.call(request, [this](const platform_response& response) {
+        if (response.status != platform_status::ok) {
+            return;
+        }
+        cell_event::hosts_listed event;
+        for (const auto& it : response.hosts) {
+            event.hosts.insert(it.host);
+        }
+        handle(std::move(event));
+    });
+}
+
 void membership_runner::perform(cell_action::send_message& action) {
     const auto& self = settings_.self;
     pending_[action.address].push_back(
@@ -232,6 +247,7 @@
         {"last_reason", view.last_reason},
         {"platform_reads", counters.reads},
         {"platform_writes", counters.writes},
+        {"host_lists", counters.host_lists},
         {"messages", counters.messages},
     };
     return out.dump();
--- a/src/skylarkseam/shell/membership_runner.hpp
+++ b/src/skylarkseam/shell/membership_runner.hpp
@@ -44,6 +44,7 @@
     void handle(cell_input event);
     void perform(cell_action::read_record& action);
     void perform(cell_action::write_record& action);
+    void perform(cell_action::list_hosts& action);
     void perform(cell_action::send_message& action);
     void perform(cell_action::ownership_changed& action);
     void perform(cell_action::serve& action);
--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -77,6 +77,7 @@
     ++one.life;
     ++one.self.incarnation;
     one.alive = true;
+    platform.hosts.insert(one.self.node);
     one.has_left = false;
     one.paused_until = {};
     one.allowed = {};
@@ -94,6 +95,23 @@
     wake(it);
 }
 
+void cell_simulation::replace(std::size_t it) {
+    platform.hosts.erase(nodes[it].self.node);
+    nodes[it].self.node += "x";
+    start(it);
+}
+
+void cell_simulation::list_hosts(std::size_t from) {
+    ++platform.reads;
+    schedule(now_ + platform.latency, [this, from, life = nodes[from].life] {
+        if (platform.down || platform.throttled || nodes[from].platform_cut) {
+            return;
+        }
+        deliver(from, life,
+                [this, from, hosts = platform.hosts] { handle(from, cell_event::hosts_listed{hosts}); });
+    });
+}
+
 void cell_simulation::crash(std::size_t it) {
     nodes[it].alive = false;
     ++nodes[it].life;
@@ -165,6 +183,8 @@
         call_platform(it, read->call, std::nullopt);
     } else if (auto* write = std::get_if<cell_action::write_record>(&action)) {
         call_platform(it, write->call, *write);
+    } else if (std::holds_alternative<cell_action::list_hosts>(action)) {
+        list_hosts(it);
     } else if (auto* message = std::get_if<cell_action::send_message>(&action)) {
         send(it, *message);
     } else if (auto* owned = std::get_if<cell_action::serve>(&action)) {
--- a/tests/control/cell_simulation.hpp
+++ b/tests/control/cell_simulation.hpp
@@ -23,6 +23,7 @@
     duration latency = milliseconds(4);
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
+    std::set<std::string> hosts;  ///< as it lists them
     std::vector<epoch_id> epochs; ///< each epoch written, in order
 };
 
@@ -69,6 +70,8 @@
     void at(duration after, std::function<void()> task) { schedule(now_ + after, std::move(task)); }
 
     void start(std::size_t it);
+    /// Starts a node on a new host in the place of one that has ended.
+    void replace(std::size_t it);
     void crash(std::size_t it);
     void pause(std::size_t it, duration span);
     void leave(std::size_t it);
@@ -113,6 +116,7 @@
     void act(std::size_t it, cell_output& action);
     void wake(std::size_t it);
     void send(std::size_t from, const cell_action::send_message& action);
+    void list_hosts(std::size_t from);
     void call_platform(std::size_t from, platform_call_id call,
                        std::optional<cell_action::write_record> write);
     [[nodiscard]] cell_event::platform_answered apply(platform_call_id call,
--- a/tests/control/cell_test.cpp
+++ b/tests/control/cell_test.cpp
@@ -107,6 +107,52 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(loss_of_most_members)
+
+constexpr duration absence_bound = cell_timing{}.host_absence + seconds(20);
+
+BOOST_AUTO_TEST_CASE(nodes_that_start_again_stand_for_their_earlier_processes) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        cell_simulation sim(with(2 + seed % 7, seed));
+        sim.run_for(settle);
+        for (std::size_t it = 0; it < sim.nodes.size(); ++it) {
+            sim.crash(it);
+            sim.at(milliseconds(500 + 100 * it), [&sim, it] { sim.start(it); });
+        }
+        sim.run_for(seconds(15));
+        BOOST_TEST(sim.served() == sim.searchers(), "seed " << seed << ": " << sim.served());
+        require_clean(sim, seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(new_hosts_take_over_once_the_platform_has_dropped_the_old_ones) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        cell_simulation sim(with(2 + seed % 7, seed));
+        sim.run_for(settle);
+        for (std::size_t it = 0; it < sim.nodes.size(); ++it) {
+            sim.crash(it);
+            sim.replace(it);
+        }
+        sim.run_for(absence_bound);
+        BOOST_TEST(sim.served() == sim.searchers(), "seed " << seed << ": " << sim.served());
+        require_clean(sim, seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_are_listed_under_other_names_prove_nothing) {
+    cell_simulation sim(with(5, 1));
+    sim.platform.hosts = {"host-a", "host-b"};
+    sim.run_for(settle);
+    const auto expected = sim.nodes[3].serving.size() + sim.nodes[4].serving.size();
+    for (std::size_t it = 0; it < 3; ++it) {
+        sim.crash(it);
+    }
+    sim.run_for(absence_bound);
+    BOOST_TEST(sim.served() == expected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(platform_outages)
 
 BOOST_AUTO_TEST_CASE(service_goes_on_while_every_member_promises) {
