--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -115,6 +115,9 @@
         if (config_->generation == 0) {
             return make_error(error_kind::starting, "no configuration is in force yet");
         }
+        if (owners_->owner_of.empty()) {
+            return make_error(error_kind::starting, "the owners of the searchers are not known yet");
+        }
         return std::nullopt;
     }
 
