--- a/src/skylarkseam/control/cell.cpp
+++ b/src/skylarkseam/control/cell.cpp
@@ -39,7 +39,7 @@
     void update_role(const std::string& former, time_point lease_floor);
 
     void on_message(cell_envelope& message);
-    void on_renewed(const cell_envelope& from, cell_message::renewed& body);
+    void on_renewed(cell_message::renewed& body);
     void on_promise_request(const cell_envelope& from, const cell_message::promise_request& body);
     void on_promise(const cell_envelope& from, const cell_message::promise& body);
     void on_released(const cell_envelope& from, const cell_message::released& body);
@@ -160,7 +160,7 @@
                            holder.on_alive(message, it);
                        }
                    },
-                   [&](cell_message::renewed& it) { on_renewed(message, it); },
+                   [&](cell_message::renewed& it) { on_renewed(it); },
                    [&](cell_message::join& it) {
                        if (is_holder) {
                            holder.on_join(message, it);
@@ -186,12 +186,12 @@
                message.body);
 }
 
-void cell::impl::on_renewed(const cell_envelope& from, cell_message::renewed& body) {
+void cell::impl::on_renewed(cell_message::renewed& body) {
     if (body.record && body.record->owners.epoch == body.epoch) {
         on_record(body.version, std::move(*body.record), nullptr, {});
     }
     if (!is_holder) {
-        follower.on_renewed(from, body);
+        follower.on_renewed(body);
     }
 }
 
--- a/src/skylarkseam/control/cell_follower.cpp
+++ b/src/skylarkseam/control/cell_follower.cpp
@@ -101,7 +101,7 @@
     send_alive(from.address);
 }
 
-void cell_follower::on_renewed(const cell_envelope& from, const cell_message::renewed& body) {
+void cell_follower::on_renewed(const cell_message::renewed& body) {
     if (body.version < state_.version || body.epoch != state_.epoch()) {
         return;
     }
@@ -109,7 +109,6 @@
     if (state_.self_is_member() && body.sequence != 0) {
         state_.lease.acknowledge(body.sequence);
     }
-    static_cast<void>(from);
 }
 
 void cell_follower::on_vote_request(const cell_envelope& from, const cell_message::vote_request& body) {
--- a/src/skylarkseam/control/cell_follower.hpp
+++ b/src/skylarkseam/control/cell_follower.hpp
@@ -14,7 +14,7 @@
     void begin();
     void on_time();
     void on_probe(const cell_envelope& from, const cell_message::probe& body);
-    void on_renewed(const cell_envelope& from, const cell_message::renewed& body);
+    void on_renewed(const cell_message::renewed& body);
     void on_join(const cell_envelope& from);
     void on_vote_request(const cell_envelope& from, const cell_message::vote_request& body);
 
--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -279,7 +279,7 @@
         const auto clock = local(one);
         for (const auto& name : one.serving) {
             if (clock < one.allowed.warm_until && random(4) == 0) {
-                check_dispatch(it, name, clock < one.allowed.full_until);
+                check_dispatch(it, name);
             }
         }
         report_drained(it);
@@ -291,7 +291,7 @@
     });
 }
 
-void cell_simulation::check_dispatch(std::size_t it, const std::string& searcher, bool full) {
+void cell_simulation::check_dispatch(std::size_t it, const std::string& searcher) {
     ++dispatches;
     const auto complain = [&](const std::string& what, std::size_t other) {
         violations.push_back(what + ": " + nodes[it].self.node + " beside " + nodes[other].self.node +
@@ -315,7 +315,6 @@
     const auto end = now_ + options_.deadline * random(percent + 1) / percent;
     running.push_back({it, end});
     nodes[it].last_end[searcher] = std::max(nodes[it].last_end[searcher], end);
-    static_cast<void>(full);
 }
 
 void cell_simulation::report_drained(std::size_t it) {
--- a/tests/control/cell_simulation.hpp
+++ b/tests/control/cell_simulation.hpp
@@ -123,7 +123,8 @@
                                                       const std::optional<cell_action::write_record>& write);
     void serve(std::size_t it, const cell_action::serve& action);
     void dispatch_work(std::size_t it);
-    void check_dispatch(std::size_t it, const std::string& searcher, bool full);
+    /// Stricter than full authority: no other node may have any, not even for warm searchers.
+    void check_dispatch(std::size_t it, const std::string& searcher);
     void report_drained(std::size_t it);
     void sample();
 
