--- a/tests/control/cell_simulation.cpp
+++ b/tests/control/cell_simulation.cpp
@@ -77,6 +77,7 @@
     ++one.life;
     ++one.self.incarnation;
     one.alive = true;
+    platform.hosts.insert(one.self.node);
     one.has_left = false;
     one.paused_until = {};
     one.allowed = {};
@@ -94,6 +95,23 @@
     wake(it);
 }
 
+void cell_simulation::replace(std::size_t it) {
+    platform.hosts.erase(nodes[it].self.node);
+    nodes[it].self.node += "x";
+    start(it);
+}
+
+void cell_simulation::list_hosts(std::size_t from) {
+    ++platform.reads;
+    schedule(now_ + platform.latency, [this, from, life = nodes[from].life] {
+        if (platform.down || platform.throttled || nodes[from].platform_cut) {
+            return;
+        }
+        deliver(from, life,
+                [this, from, hosts = platform.hosts] { handle(from, cell_event::hosts_listed{hosts}); });
+    });
+}
+
 void cell_simulation::crash(std::size_t it) {
     nodes[it].alive = false;
     ++nodes[it].life;
@@ -165,6 +183,8 @@
         call_platform(it, read->call, std::nullopt);
     } else if (auto* write = std::get_if<cell_action::write_record>(&action)) {
         call_platform(it, write->call, *write);
+    } else if (std::holds_alternative<cell_action::list_hosts>(action)) {
+        list_hosts(it);
     } else if (auto* message = std::get_if<cell_action::send_message>(&action)) {
         send(it, *message);
     } else if (auto* owned = std::get_if<cell_action::serve>(&action)) {
@@ -184,6 +204,9 @@
     }
     const auto& self = nodes[from].self;
     cell_envelope message{"cell0", self.node, self.incarnation, self.peer_address, action.body};
+    if (on_message) {
+        on_message(message);
+    }
     if (auto* renewed = std::get_if<cell_message::renewed>(&message.body);
         renewed != nullptr && options_.without_guard_wait) {
         drop_waits(renewed->record);
@@ -221,7 +244,10 @@
 
 void cell_simulation::call_platform(std::size_t from, platform_call_id call,
                                     std::optional<cell_action::write_record> write) {
-    ++platform.calls;
+    ++(write ? platform.writes : platform.reads);
+    if (write && on_write) {
+        on_write(write->record);
+    }
     const auto life = nodes[from].life;
     const auto half = platform.latency / 2 + microseconds(random(500));
     schedule(now_ + half, [this, from, call, life, half, write = std::move(write)] {
@@ -253,7 +279,7 @@
         const auto clock = local(one);
         for (const auto& name : one.serving) {
             if (clock < one.allowed.warm_until && random(4) == 0) {
-                check_dispatch(it, name, clock < one.allowed.full_until);
+                check_dispatch(it, name);
             }
         }
         report_drained(it);
@@ -265,7 +291,7 @@
     });
 }
 
-void cell_simulation::check_dispatch(std::size_t it, const std::string& searcher, bool full) {
+void cell_simulation::check_dispatch(std::size_t it, const std::string& searcher) {
     ++dispatches;
     const auto complain = [&](const std::string& what, std::size_t other) {
         violations.push_back(what + ": " + nodes[it].self.node + " beside " + nodes[other].self.node +
@@ -289,7 +315,6 @@
     const auto end = now_ + options_.deadline * random(percent + 1) / percent;
     running.push_back({it, end});
     nodes[it].last_end[searcher] = std::max(nodes[it].last_end[searcher], end);
-    static_cast<void>(full);
 }
 
 void cell_simulation::report_drained(std::size_t it) {
--- a/tests/control/cell_simulation.hpp
+++ b/tests/control/cell_simulation.hpp
@@ -21,7 +21,9 @@
     bool throttled = false;
     int lose_answers_percent = 0; ///< of updates that took effect
     duration latency = milliseconds(4);
-    std::uint64_t calls = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::set<std::string> hosts;  ///< as it lists them
     std::vector<epoch_id> epochs; ///< each epoch written, in order
 };
 
@@ -68,6 +70,8 @@
     void at(duration after, std::function<void()> task) { schedule(now_ + after, std::move(task)); }
 
     void start(std::size_t it);
+    /// Starts a node on a new host in the place of one that has ended.
+    void replace(std::size_t it);
     void crash(std::size_t it);
     void pause(std::size_t it, duration span);
     void leave(std::size_t it);
@@ -89,7 +93,9 @@
     std::uint64_t messages = 0;
     std::uint64_t wakeups = 0; ///< of all nodes' timers
     std::uint64_t message_loss_percent = 0;
-    std::size_t served_samples = 0; ///< searchers served, summed over samples
+    std::function<void(const cell_envelope&)> on_message; ///< sees each message between nodes
+    std::function<void(const cell_record&)> on_write;     ///< sees each update sent to the platform
+    std::size_t served_samples = 0;                       ///< searchers served, summed over samples
     std::size_t samples = 0;
     duration unserved_longest{}; ///< longest time in a row with any searcher unserved
     pcg32 random;
@@ -110,13 +116,15 @@
     void act(std::size_t it, cell_output& action);
     void wake(std::size_t it);
     void send(std::size_t from, const cell_action::send_message& action);
+    void list_hosts(std::size_t from);
     void call_platform(std::size_t from, platform_call_id call,
                        std::optional<cell_action::write_record> write);
     [[nodiscard]] cell_event::platform_answered apply(platform_call_id call,
                                                       const std::optional<cell_action::write_record>& write);
     void serve(std::size_t it, const cell_action::serve& action);
     void dispatch_work(std::size_t it);
-    void check_dispatch(std::size_t it, const std::string& searcher, bool full);
+    /// Stricter than full authority: no other node may have any, not even for warm searchers.
+    void check_dispatch(std::size_t it, const std::string& searcher);
     void report_drained(std::size_t it);
     void sample();
 
