--- a/tests/end_to_end/configuration_test.cpp
+++ b/tests/end_to_end/configuration_test.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <sstream>
 #include <tests/end_to_end/deployment.hpp>
 
@@ -59,6 +60,32 @@
         return body.at("configuration").at(key);
     }
 
+    /// The commands of a page, with its example's places replaced by this deployment's.
+    std::vector<std::vector<std::string>> commands_of(const std::string& page) {
+        const std::map<std::string, std::string> places{
+            {"http://127.0.0.1:7000", all.platform_url()},
+            {"127.0.0.1:7002", all.admin_address("entry-1")},
+            {"127.0.0.1:7003", all.peers_address("entry-1")},
+            {"deployment/", file()},
+            {"node.yaml", all.folder() + "/entry-3.yaml"},
+        };
+        std::vector<std::vector<std::string>> commands;
+        std::ifstream in(std::string(SKYLARKSEAM_SOURCE_DIR) + "/docs/" + page);
+        for (std::string line; std::getline(in, line);) {
+            std::istringstream words(line);
+            std::string word;
+            if (!line.starts_with("    ") || !(words >> word) || word != "skylarkseam") {
+                continue;
+            }
+            auto& args = commands.emplace_back();
+            while (words >> word) {
+                const auto place = places.find(word);
+                args.push_back(place == places.end() ? word : place->second);
+            }
+        }
+        return commands;
+    }
+
     [[nodiscard]] bool says(const std::string& text) const {
         return all.command_output().find(text) != std::string::npos;
     }
@@ -91,6 +118,16 @@
     BOOST_TEST(json::parse(all.command_output()).at("configuration").at("generation") == 2);
 }
 
+BOOST_AUTO_TEST_CASE(the_commands_of_the_pages_work_as_written) {
+    for (const auto* page : {"configuration.md", "operations/change-configuration.md"}) {
+        const auto commands = commands_of(page);
+        BOOST_TEST(commands.size() >= 5U);
+        for (const auto& it : commands) {
+            BOOST_TEST(all.command(it) == 0, it.front() << ": " << all.command_output());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_has_not_confirmed_is_named) {
     const auto silent = all.peers_address("entry-3");
     all.node("entry-3").signal(SIGSTOP);
