Route callers' requests through claims, jobs and the ledger in the node

Change: durable_services binds the control part's state machines to the event loop, the platform client and the coordinator: requests of the deferrable class become jobs, non-idempotent ones go through their claims, each answer and refusal is chained in the ledger, and an answer carries its receipt. GET /v1/jobs/{id} answers from the platform. Shutdown waits for claims and running jobs, then closes and stores the ledger. The state dump has the sections effects, jobs, ledger and retirement.

--- a/src/skylarkseam/shell/caller_service.cpp
+++ b/src/skylarkseam/shell/caller_service.cpp
@@ -68,7 +68,7 @@
 }
 
 /// What only the configuration can tell of a request. The key of a request to an idempotent service is
-/// dropped: such a request may run again, and is scattered.
+/// dropped: such a request may run again, and is scattered. A deferrable one keeps it, as its job's key.
 std::optional<error> check_against(const configuration& config, query_request& query) {
     const auto it = config.services.find(query.service);
     if (it == config.services.end()) {
@@ -78,7 +78,7 @@
         return bad("the service " + query.service +
                    " is not idempotent: the header Idempotency-Key is missing");
     }
-    if (it->second.idempotent) {
+    if (it->second.idempotent && query.cls.value_or(it->second.cls) != request_class::deferrable) {
         query.idempotency_key.clear();
     }
     return std::nullopt;
@@ -127,7 +127,7 @@
         return;
     }
     if (request.method == "GET" && parts.size() == 3 && parts[0] == "v1" && parts[1] == "jobs") {
-        handle_job(parts[2], answer);
+        handle_job(parts[2], request.header("x-caller"), answer);
         return;
     }
     answer(error_response(
@@ -137,18 +137,19 @@
 void caller_service::handle_query(const incoming_request& request, const std::string& service,
                                   const respond& answer) {
     const auto began = loop_.now();
-    if (auto fault = handlers_.refuse()) {
-        finish_query(request.header("x-request-id"), service, began, {std::move(*fault)}, answer);
-        return;
+    query_request seen;
+    seen.service = service;
+    seen.caller = request.header("x-caller").substr(0, max_name_bytes);
+    seen.request_id = request.header("x-request-id").substr(0, max_name_bytes);
+    if (const auto fault = handlers_.refuse()) {
+        return refuse_query(seen, began, *fault, answer);
     }
     auto query = read_query(request, service, query_limits_);
     if (!query) {
-        finish_query(request.header("x-request-id"), service, began, {query.error()}, answer);
-        return;
+        return refuse_query(seen, began, query.error(), answer);
     }
-    if (auto fault = check_against(*handlers_.configuration_now(), query.value())) {
-        finish_query(query.value().request_id, service, began, {std::move(*fault)}, answer);
-        return;
+    if (const auto fault = check_against(*handlers_.configuration_now(), query.value())) {
+        return refuse_query(query.value(), began, *fault, answer);
     }
     auto id = query.value().request_id;
     handlers_.on_query(std::move(query.value()),
@@ -157,6 +158,14 @@
                        });
 }
 
+void caller_service::refuse_query(const query_request& request, time_point began, const error& fault,
+                                  const respond& answer) {
+    if (handlers_.on_refused) {
+        handlers_.on_refused(request, fault);
+    }
+    finish_query(request.request_id, request.service, began, {fault}, answer);
+}
+
 void caller_service::finish_query(const std::string& request_id, const std::string& service, time_point began,
                                   const request_outcome& outcome, const respond& answer) {
     // An unknown service's name is the caller's text: it must not become a label of its own.
@@ -177,14 +186,14 @@
     }
     const bool whole = outcome.answer.value().covered.missing.empty();
     measured_.count("answers", label + (whole ? ",outcome=\"whole\"" : ",outcome=\"partial\""));
-    answer({200,
-            encode_answer(request_id, outcome.answer.value(), outcome.receipt_json),
-            "application/json",
-            {}});
+    auto body = outcome.blank_body.empty()
+                    ? encode_answer(request_id, outcome.answer.value(), outcome.receipt_json)
+                    : complete_answer(outcome.blank_body, request_id, outcome.receipt_json);
+    answer({200, std::move(body), "application/json", {}});
 }
 
-void caller_service::handle_job(const std::string& job, const respond& answer) {
-    handlers_.on_job(job, [answer](const result<std::string>& body) {
+void caller_service::handle_job(const std::string& job, const std::string& caller, const respond& answer) {
+    handlers_.on_job(job, caller, [answer](const result<std::string>& body) {
         answer(body ? outgoing_response{200, body.value(), "application/json", {}}
                     : error_response(body.error()));
     });
--- a/src/skylarkseam/shell/caller_service.hpp
+++ b/src/skylarkseam/shell/caller_service.hpp
@@ -18,14 +18,19 @@
     result<query_answer> answer;
     std::string receipt_json = "{}"; ///< a JSON object
     std::string job{};               ///< not empty: the request was stored as this job, and the answer is 202
+    std::string blank_body{};        ///< not empty: the body of the answer, but for request id and receipt
 };
 
 /// What the callers' port asks of the rest of the node.
 struct caller_handlers {
     /// Answers one request; `done` is called exactly once.
     std::function<void(query_request request, std::function<void(request_outcome)> done)> on_query;
-    /// The body of GET /v1/jobs/{id}.
-    std::function<void(const std::string& job, std::function<void(result<std::string>)> done)> on_job;
+    /// Told of each request that is refused before on_query, with what could be read of it.
+    std::function<void(const query_request& request, const error& fault)> on_refused;
+    /// The body of GET /v1/jobs/{id}, for the caller that the request names; empty where it names none.
+    std::function<void(const std::string& job, const std::string& caller,
+                       std::function<void(result<std::string>)> done)>
+        on_job;
     /// Why the balancer should send nothing here; nothing when all is well.
     std::function<std::optional<error>()> unfit;
     /// Why a new request is refused at once; nothing when it is taken.
@@ -50,7 +55,9 @@
     void handle_query(const incoming_request& request, const std::string& service, const respond& answer);
     void finish_query(const std::string& request_id, const std::string& service, time_point began,
                       const request_outcome& outcome, const respond& answer);
-    void handle_job(const std::string& job, const respond& answer);
+    void refuse_query(const query_request& request, time_point began, const error& fault,
+                      const respond& answer);
+    void handle_job(const std::string& job, const std::string& caller, const respond& answer);
 
     event_loop& loop_;
     caller_limits query_limits_;
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -2,6 +2,7 @@
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/caller_service.hpp>
 #include <skylarkseam/shell/configuration_watch.hpp>
+#include <skylarkseam/shell/durable_services.hpp>
 #include <skylarkseam/shell/logging.hpp>
 #include <skylarkseam/shell/node.hpp>
 #include <skylarkseam/shell/owner_runner.hpp>
@@ -18,6 +19,7 @@
 
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr duration balancer_notice = seconds(1); ///< between the health endpoint's 503 and the first refusal
+constexpr duration ledger_flush_time = seconds(5);
 constexpr duration authority_length = seconds(10);
 constexpr duration authority_renewal = seconds(1);
 
@@ -47,6 +49,8 @@
         , owner_(loop_, http_, metrics_, settings.name)
         , queries_(loop_, peers_, owner_, metrics_, settings.name, std::to_string(incarnation_),
                    std::random_device{}())
+        , durable_(
+              loop_, platform_, peers_, queries_, [this] { return config_; }, settings.name, incarnation_)
         , callers_(loop_, http_limits_of(settings.limits), {}, metrics_, handlers())
         , admin_(
               loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
@@ -66,6 +70,7 @@
 private:
     void listen() {
         owner_.serve(peer_port_);
+        durable_.serve(peer_port_);
         const auto callers = callers_.listen(settings_.listen.callers);
         const auto admin = admin_.listen(settings_.listen.admin);
         const auto peers = peer_port_.listen(settings_.listen.peers);
@@ -79,19 +84,13 @@
         admin_.add_section("configuration", [this] { return state_json(*config_); });
         admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
         admin_.add_section("queries", [this] { return state_json(queries_.state()); });
+        durable_.add_sections(admin_);
         admin_.add_section("searchers", [this] { return state_json(owner_.state()); });
     }
 
     caller_handlers handlers() {
         caller_handlers out;
-        out.on_query = [this](query_request request, std::function<void(request_outcome)> done) {
-            queries_.start(std::move(request), [done = std::move(done)](result<query_answer> answer) {
-                done({std::move(answer), "{}", {}});
-            });
-        };
-        out.on_job = [](const std::string& job, const std::function<void(result<std::string>)>& done) {
-            done(make_error(error_kind::not_found, "no such job: " + job));
-        };
+        durable_.add_handlers(out);
         out.unfit = [this] { return unfit(); };
         out.refuse = [this] { return refusal(); };
         out.configuration_now = [this] { return config_; };
@@ -128,6 +127,7 @@
     void take_members(const std::vector<member>& members) {
         members_ = members;
         log_event(log_level::info, "members_changed", {{"members", members.size()}});
+        durable_.set_members(members);
         assign_searchers();
     }
 
@@ -174,6 +174,7 @@
             return;
         }
         draining_ = true;
+        durable_.drain();
         log_event(log_level::info, "draining", {{"open_requests", callers_.open_requests()}});
         loop_.run_after(balancer_notice, [this] {
             refusing_ = true;
@@ -185,10 +186,10 @@
     void check_drained() {
         const auto open = callers_.open_requests();
         const auto in_flight = owner_.state().in_flight();
-        if (open == 0 && in_flight == 0) {
-            log_event(log_level::info, "drained", {});
-            loop_.stop();
-            return;
+        if (open == 0 && in_flight == 0 && durable_.is_idle()) {
+            durable_.close();
+            flush_until_ = loop_.now() + ledger_flush_time;
+            return check_flushed();
         }
         if (loop_.now() >= drain_until_) {
             log_event(log_level::warning, "drain_timeout",
@@ -200,6 +201,17 @@
         loop_.run_after(drain_check_interval, [this] { check_drained(); });
     }
 
+    /// Waits for the ledger to be stored; a peer holds a copy of what the platform does not take.
+    void check_flushed() {
+        const auto backlog = durable_.ledger_backlog();
+        if (backlog > 0 && loop_.now() < flush_until_) {
+            loop_.run_after(drain_check_interval, [this] { check_flushed(); });
+            return;
+        }
+        log_event(log_level::info, "drained", {{"ledger_backlog", backlog}});
+        loop_.stop();
+    }
+
     node_settings settings_;
     std::uint64_t incarnation_;
     event_loop loop_;
@@ -210,6 +222,7 @@
     peer_server peer_port_;
     owner_runner owner_;
     query_runner queries_;
+    durable_services durable_;
     caller_service callers_;
     admin_service admin_;
     configuration_watch configuration_;
@@ -220,6 +233,7 @@
     bool draining_ = false; ///< the health endpoint says so
     bool refusing_ = false; ///< new requests are refused
     time_point drain_until_{};
+    time_point flush_until_{};
     int exit_code_ = 0;
 };
 
--- a/src/skylarkseam/wire/caller_json.cpp
+++ b/src/skylarkseam/wire/caller_json.cpp
@@ -73,6 +73,21 @@
     return out;
 }
 
+std::string encode_blank_answer(const query_answer& answer) {
+    return encode_answer({}, answer, "{}");
+}
+
+std::string complete_answer(const std::string& blank, const std::string& request_id,
+                            const std::string& receipt_json) {
+    constexpr std::string_view blank_id = R"({"request_id":"")";
+    constexpr std::string_view blank_receipt = "{}}";
+    if (!blank.starts_with(blank_id) || !blank.ends_with(blank_receipt)) {
+        return blank;
+    }
+    const auto middle = blank.substr(blank_id.size(), blank.size() - blank_id.size() - blank_receipt.size());
+    return R"({"request_id":)" + json_text(request_id) + middle + receipt_json + "}";
+}
+
 std::string encode_error(const error& fault) {
     std::string out = R"({"error":")" + std::string(name_of(fault.kind));
     out += R"(","ran":")" + std::string(name_of(fault.ran));
--- a/src/skylarkseam/wire/caller_json.hpp
+++ b/src/skylarkseam/wire/caller_json.hpp
@@ -21,6 +21,14 @@
 [[nodiscard]] std::string encode_answer(const std::string& request_id, const query_answer& answer,
                                         const std::string& receipt_json);
 
+/// The body of a 200 answer with an empty request id and an empty receipt, as outcomes are stored and
+/// digested.
+[[nodiscard]] std::string encode_blank_answer(const query_answer& answer);
+
+/// Fills the request id and the receipt of a body from encode_blank_answer().
+[[nodiscard]] std::string complete_answer(const std::string& blank, const std::string& request_id,
+                                          const std::string& receipt_json);
+
 [[nodiscard]] std::string encode_error(const error& fault);
 
 /// A text as a JSON string, quotes included; bytes that are not UTF-8 are replaced.
