--- a/src/skylarkseam/cli/commands.hpp
+++ b/src/skylarkseam/cli/commands.hpp
@@ -18,5 +18,8 @@
 
 exit_code node_command(const arguments& args);
 exit_code apply_command(const arguments& args);
+exit_code jobs_command(const arguments& args);
+exit_code effects_command(const arguments& args);
+exit_code ledger_command(const arguments& args);
 
 } // namespace skylarkseam
--- a/src/skylarkseam/control/ledger.cpp
+++ b/src/skylarkseam/control/ledger.cpp
@@ -94,7 +94,7 @@
     sealed_.front().attempted = true;
     platform_request request;
     request.method = platform_method::create;
-    request.kind = ledger_object_kind;
+    request.kind = segment_kind(sealed_.front().segment);
     request.name = segment_name(sealed_.front().segment);
     request.value_json = encode_segment(sealed_.front().segment);
     counters_.bytes_stored += request.value_json.size();
--- a/src/skylarkseam/control/ledger_copies.cpp
+++ b/src/skylarkseam/control/ledger_copies.cpp
@@ -15,7 +15,8 @@
     const auto name = segment_name(*segment);
     erase(name);
     bytes_ += segment_json.size();
-    copies_[name] = {segment->node, segment->incarnation, segment->last, segment_json};
+    copies_[name] = {segment->node, segment->incarnation, segment->last, segment_kind(*segment),
+                     segment_json};
     return true;
 }
 
@@ -65,7 +66,7 @@
     writing_ = orphan->first;
     platform_request request;
     request.method = platform_method::create;
-    request.kind = ledger_object_kind;
+    request.kind = orphan->second.kind;
     request.name = orphan->first;
     request.value_json = orphan->second.json;
     out.push_back({++last_call_, std::move(request)});
--- a/src/skylarkseam/control/ledger_copies.hpp
+++ b/src/skylarkseam/control/ledger_copies.hpp
@@ -44,6 +44,7 @@
         std::string node;
         std::uint64_t incarnation = 0;
         std::uint64_t last = 0;
+        std::string kind;
         std::string json;
     };
     [[nodiscard]] bool is_orphan(const copy& it) const;
--- a/src/skylarkseam/control/ledger_segment.cpp
+++ b/src/skylarkseam/control/ledger_segment.cpp
@@ -93,6 +93,17 @@
     return receipt_verdict_names.name_of(verdict);
 }
 
+std::string chapter_kind(std::string_view node, std::uint64_t incarnation, std::uint64_t chapter) {
+    return "ledger." + std::string(node) + "." + std::to_string(incarnation) + "." + std::to_string(chapter);
+}
+
+std::string segment_kind(const ledger_segment& segment) {
+    if (segment.first == 1) {
+        return ledger_chains_kind;
+    }
+    return chapter_kind(segment.node, segment.incarnation, segment.first / records_in_chapter);
+}
+
 std::string segment_name(const ledger_segment& segment) {
     return segment.node + "." + padded(segment.incarnation) + "." + padded(segment.first);
 }
--- a/src/skylarkseam/control/ledger_segment.hpp
+++ b/src/skylarkseam/control/ledger_segment.hpp
@@ -23,8 +23,14 @@
     std::vector<std::string> lines;
 };
 
-constexpr const char* ledger_object_kind = "ledger";
+/// The kind of the opening segments, one for each incarnation of a node: the list of all chains.
+constexpr const char* ledger_chains_kind = "ledger_chains";
+/// Later segments lie in chapters of so many records, each a kind of its own, so that one list stays small.
+constexpr std::uint64_t records_in_chapter = 16'384;
 
+[[nodiscard]] std::string chapter_kind(std::string_view node, std::uint64_t incarnation,
+                                       std::uint64_t chapter);
+[[nodiscard]] std::string segment_kind(const ledger_segment& segment);
 /// Names sort by node, incarnation and first record.
 [[nodiscard]] std::string segment_name(const ledger_segment& segment);
 [[nodiscard]] std::string encode_segment(const ledger_segment& segment);
--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -19,6 +19,9 @@
 constexpr std::array commands{
     command{"node", &node_command, "run a node"},
     command{"apply", &apply_command, "apply a configuration"},
+    command{"jobs", &jobs_command, "list, show and cancel deferrable jobs"},
+    command{"effects", &effects_command, "list and resolve non-idempotent requests"},
+    command{"ledger", &ledger_command, "show and prove the order of service"},
 };
 
 void print_help(std::ostream& out) {
--- a/tests/control/ledger_test.cpp
+++ b/tests/control/ledger_test.cpp
@@ -59,6 +59,8 @@
         for (const auto& [name, object] : platform.objects) {
             segments.push_back(decode_segment(object.value_json).value());
         }
+        std::sort(segments.begin(), segments.end(),
+                  [](const auto& a, const auto& b) { return a.first < b.first; });
         return segments;
     }
 
--- a/tests/wire/caller_json_test.cpp
+++ b/tests/wire/caller_json_test.cpp
@@ -45,6 +45,16 @@
         R"("hits":[{"id":"a","score":2.0},{"id":"b","score":1.0}],"receipt":{}})");
 }
 
+BOOST_AUTO_TEST_CASE(a_blank_answer_is_completed_for_each_request_that_it_answers) {
+    query_answer answer;
+    answer.snapshot = 7;
+    answer.hits = {{"a", 2.0, R"({"id":"a","text":"{}}"})"}};
+    const auto blank = encode_blank_answer(answer);
+    const auto receipt = std::string(R"({"sequence":5})");
+    BOOST_TEST(complete_answer(blank, "r\"1", receipt) == encode_answer("r\"1", answer, receipt));
+    BOOST_TEST(complete_answer(R"({"kept":1})", "r1", receipt) == R"({"kept":1})");
+}
+
 BOOST_AUTO_TEST_CASE(an_error_says_whether_the_request_ran) {
     BOOST_TEST(encode_error(make_error(error_kind::overloaded, "queue full")) ==
                R"({"error":"overloaded","ran":"no","detail":"queue full"})");
