--- a/src/skylarkseam/cli/commands.hpp
+++ b/src/skylarkseam/cli/commands.hpp
@@ -23,5 +23,8 @@
 exit_code diff_command(const arguments& args);
 exit_code dump_command(const arguments& args);
 exit_code status_command(const arguments& args);
+exit_code jobs_command(const arguments& args);
+exit_code effects_command(const arguments& args);
+exit_code ledger_command(const arguments& args);
 
 } // namespace skylarkseam
--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -24,6 +24,9 @@
     command{"diff", &diff_command, "print what applying would change"},
     command{"status", &status_command, "print what is in force in the platform and at each node"},
     command{"dump", &dump_command, "print a node's state"},
+    command{"jobs", &jobs_command, "list, show and cancel deferrable jobs"},
+    command{"effects", &effects_command, "list and resolve non-idempotent requests"},
+    command{"ledger", &ledger_command, "show and prove the order of service"},
 };
 
 void print_help(std::ostream& out) {
