--- a/tests/end_to_end/deployment.hpp
+++ b/tests/end_to_end/deployment.hpp
@@ -12,13 +12,18 @@
 
 namespace skylarkseam::testing {
 
+struct deployment_size {
+    int nodes = 3;
+    int searchers = 12;
+    shard_id shards = 6;
+    int replicas = 2;
+};
+
 class deployment {
 public:
-    static constexpr shard_id shards = 6;
-
     /// Starts everything and applies a configuration with the services "search" (idempotent) and "billing"
-    /// (not).
-    explicit deployment(int nodes = 3);
+    /// (not idempotent).
+    explicit deployment(deployment_size size = {});
     ~deployment();
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
@@ -40,7 +45,8 @@
 
     child_process& start_node(const std::string& name, const std::string& zone);
     [[nodiscard]] child_process& node(const std::string& name) { return *nodes_.at(name).process; }
-    /// Waits until the node's health endpoint says it takes work.
+    /// Waits until the node's health endpoint says it takes work, and the owners of all searchers know what
+    /// these hold: until then its answers are partial, and say so.
     bool wait_until_ready(const std::string& name);
 
     [[nodiscard]] std::string callers_address(const std::string& name) const {
@@ -60,6 +66,7 @@
         std::string peers;
     };
 
+    [[nodiscard]] bool answers_whole(const std::string& name);
     [[nodiscard]] std::string path(const std::string& name) const { return folder_ + "/" + name; }
 
     std::string folder_;
