--- a/src/skylarkseam/shell/membership_runner.hpp
+++ b/src/skylarkseam/shell/membership_runner.hpp
@@ -35,6 +35,9 @@
     /// Hands this node's searchers to other members; on_left follows when that is done.
     void leave();
 
+    /// Whether this node renews the cell's lease for all members.
+    [[nodiscard]] bool is_holder() const { return cell_.view(loop_.now()).is_holder; }
+
     [[nodiscard]] const cell_counters& counters() const { return cell_.counters(); }
 
     /// The section of the state dump.
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -1,6 +1,6 @@
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/caller_service.hpp>
-#include <skylarkseam/shell/configuration_watch.hpp>
+#include <skylarkseam/shell/configuration_runner.hpp>
 #include <skylarkseam/shell/logging.hpp>
 #include <skylarkseam/shell/membership_runner.hpp>
 #include <skylarkseam/shell/node.hpp>
@@ -15,6 +15,7 @@
 namespace skylarkseam {
 namespace {
 
+constexpr duration holder_check_interval = milliseconds(200);
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr duration balancer_notice = seconds(1); ///< between the health endpoint's 503 and the first refusal
 constexpr duration leave_timeout = seconds(5);   ///< for the handover of a leaving node's searchers
@@ -28,6 +29,16 @@
     return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
 }
 
+follower_options follower_options_of(const node_settings& settings, const std::string& address) {
+    follower_options options;
+    options.node = settings.name;
+    options.address = address;
+    options.seed = std::random_device{}();
+    options.watch_timeout = settings.timing.platform_watch;
+    options.cut_off = settings.timing.cut_off;
+    return options;
+}
+
 /// Rises with each start of a node, as far as its host's clock does; only its difference from others matters.
 std::uint64_t new_incarnation() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -50,13 +61,14 @@
         , admin_(
               loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
-        , configuration_(loop_, platform_, [this](auto config) { take_configuration(std::move(config)); }) {}
+        , configuration_(loop_, platform_, peers_,
+                         [this](auto config) { take_configuration(std::move(config)); }) {}
 
     int run() {
         loop_.on_termination([this] { on_signal(); });
         listen();
         add_sections();
-        configuration_.start();
+        follow_holder();
         loop_.run();
         return exit_code_;
     }
@@ -67,6 +79,7 @@
         const auto callers = callers_.listen(settings_.listen.callers);
         const auto admin = admin_.listen(settings_.listen.admin);
         const auto peers = peer_port_.listen(settings_.listen.peers);
+        configuration_.start(follower_options_of(settings_, peers), peer_port_, settings_.seeds);
         member self{settings_.name, incarnation_, settings_.zone, settings_.region, peers};
         cell_settings cell{std::string(cell_name), {}, std::move(self), {}, std::random_device{}(),
                            settings_.seeds};
@@ -76,7 +89,8 @@
     }
 
     void add_sections() {
-        admin_.add_section("configuration", [this] { return state_json(*config_); });
+        admin_.add_section("configuration", [this] { return configuration_.state_json(); });
+        admin_.add_section("configuration_objects", [this] { return state_json(*config_); });
         admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
         admin_.add_section("membership", [this] { return membership_->state_json(); });
         admin_.add_section("queries", [this] { return state_json(queries_.state()); });
@@ -115,14 +129,16 @@
         if (config_->generation == 0) {
             return make_error(error_kind::starting, "no configuration is in force yet");
         }
-        if (owners_->owner_of.empty()) {
+        if (owners_->epoch == 0) {
             return make_error(error_kind::starting, "the owners of the searchers are not known yet");
         }
+        if (configuration_.cut_off()) {
+            return make_error(error_kind::cut_off, "neither the platform nor any peer was heard of late");
+        }
         return std::nullopt;
     }
 
     void take_configuration(std::shared_ptr<const configuration> config) {
-        log_event(log_level::info, "configuration_in_force", {{"generation", config->generation}});
         config_ = std::move(config);
         queries_.set_configuration(config_);
         owner_.set_configuration(config_);
@@ -134,6 +150,7 @@
         out.on_ownership = [this](std::shared_ptr<const ownership> owners) {
             owners_ = std::move(owners);
             queries_.set_ownership(owners_);
+            configuration_.set_peers(peer_addresses());
         };
         out.on_serve = [this](const auto& searchers, bool handed_over) {
             owner_.set_owned(searchers, handed_over);
@@ -144,6 +161,21 @@
         return out;
     }
 
+    /// One watch a cell is enough: the lease's holder watches, the others learn from it and from each other.
+    void follow_holder() {
+        configuration_.set_watching(membership_->is_holder());
+        loop_.run_after(holder_check_interval, [this] { follow_holder(); });
+    }
+
+    /// The members, and the seeds that are not known as members yet.
+    std::vector<std::string> peer_addresses() const {
+        auto addresses = settings_.seeds;
+        for (const auto& it : owners_->members) {
+            addresses.push_back(it.peer_address);
+        }
+        return addresses;
+    }
+
     void refresh_gauges() {
         const auto& counters = queries_.state().counters();
         metrics_.gauge("open_queries", {}, static_cast<double>(queries_.state().open_queries()));
@@ -208,7 +240,7 @@
     query_runner queries_;
     caller_service callers_;
     admin_service admin_;
-    configuration_watch configuration_;
+    configuration_runner configuration_;
     std::unique_ptr<membership_runner> membership_;
     std::shared_ptr<const configuration> config_ = std::make_shared<configuration>();
     std::shared_ptr<const ownership> owners_ = std::make_shared<ownership>();
