--- a/src/skylarkseam/core/owner.cpp
+++ b/src/skylarkseam/core/owner.cpp
@@ -246,4 +246,9 @@
     return impl_->work.counters();
 }
 
+std::size_t owner::in_flight(const std::string& searcher) const {
+    const auto* it = impl_->find(searcher);
+    return it == nullptr ? 0 : it->in_flight();
+}
+
 } // namespace skylarkseam
--- a/src/skylarkseam/core/owner.hpp
+++ b/src/skylarkseam/core/owner.hpp
@@ -157,6 +157,7 @@
 
     [[nodiscard]] std::vector<owned_searcher_view> view() const;
     [[nodiscard]] std::size_t in_flight() const; ///< over all searchers
+    [[nodiscard]] std::size_t in_flight(const std::string& searcher) const;
     [[nodiscard]] const owner_counters& counters() const;
 
 private:
