--- a/src/skylarkseam/control/cell_follower.hpp
+++ b/src/skylarkseam/control/cell_follower.hpp
@@ -15,14 +15,19 @@
     void on_time();
     void on_probe(const cell_envelope& from, const cell_message::probe& body);
     void on_renewed(const cell_envelope& from, const cell_message::renewed& body);
+    void on_join(const cell_envelope& from);
     void on_vote_request(const cell_envelope& from, const cell_message::vote_request& body);
 
+    /// Tells the holder that this node is to leave, without waiting for its probe.
+    void announce_leaving();
+
     /// The object does not exist.
     void on_missing();
 
 private:
     void send_alive(const std::string& address);
     void join();
+    void find_record();
     void watch_holder();
     void take_over();
     [[nodiscard]] time_point takeover_time() const;
--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -18,10 +18,15 @@
 
 constexpr std::array commands{
     command{"node", &node_command, "run a node"},
+    command{"check", &check_command, "check configuration files"},
     command{"apply", &apply_command, "apply a configuration"},
     command{"jobs", &jobs_command, "list, show and cancel deferrable jobs"},
     command{"effects", &effects_command, "list and resolve non-idempotent requests"},
     command{"ledger", &ledger_command, "show and prove the order of service"},
+    command{"get", &get_command, "print the configuration in force"},
+    command{"diff", &diff_command, "print what applying would change"},
+    command{"status", &status_command, "print what is in force in the platform and at each node"},
+    command{"dump", &dump_command, "print a node's state"},
 };
 
 void print_help(std::ostream& out) {
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -1,12 +1,11 @@
-#include <skylarkseam/control/assignment.hpp>
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/caller_service.hpp>
-#include <skylarkseam/shell/configuration_watch.hpp>
+#include <skylarkseam/shell/configuration_runner.hpp>
 #include <skylarkseam/shell/durable_services.hpp>
 #include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/membership_runner.hpp>
 #include <skylarkseam/shell/node.hpp>
 #include <skylarkseam/shell/owner_runner.hpp>
-#include <skylarkseam/shell/peer_directory.hpp>
 #include <skylarkseam/shell/platform_client.hpp>
 #include <skylarkseam/shell/query_runner.hpp>
 #include <skylarkseam/shell/state_json.hpp>
@@ -17,11 +16,12 @@
 namespace skylarkseam {
 namespace {
 
+constexpr duration holder_check_interval = milliseconds(200);
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr duration balancer_notice = seconds(1); ///< between the health endpoint's 503 and the first refusal
 constexpr duration ledger_flush_time = seconds(5);
-constexpr duration authority_length = seconds(10);
-constexpr duration authority_renewal = seconds(1);
+constexpr duration leave_timeout = seconds(5); ///< for the handover of a leaving node's searchers
+constexpr std::string_view cell_name = "cell-0";
 
 http_limits http_limits_of(const node_limits& limits) {
     return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
@@ -31,6 +31,16 @@
     return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
 }
 
+follower_options follower_options_of(const node_settings& settings, const std::string& address) {
+    follower_options options;
+    options.node = settings.name;
+    options.address = address;
+    options.seed = std::random_device{}();
+    options.watch_timeout = settings.timing.platform_watch;
+    options.cut_off = settings.timing.cut_off;
+    return options;
+}
+
 /// Rises with each start of a node, as far as its host's clock does; only its difference from others matters.
 std::uint64_t new_incarnation() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -55,14 +65,14 @@
         , admin_(
               loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
-        , configuration_(loop_, platform_, [this](auto config) { take_configuration(std::move(config)); }) {}
+        , configuration_(loop_, platform_, peers_,
+                         [this](auto config) { take_configuration(std::move(config)); }) {}
 
     int run() {
         loop_.on_termination([this] { on_signal(); });
         listen();
         add_sections();
-        renew_authority();
-        configuration_.start();
+        follow_holder();
         loop_.run();
         return exit_code_;
     }
@@ -74,15 +84,20 @@
         const auto callers = callers_.listen(settings_.listen.callers);
         const auto admin = admin_.listen(settings_.listen.admin);
         const auto peers = peer_port_.listen(settings_.listen.peers);
+        configuration_.start(follower_options_of(settings_, peers), peer_port_, settings_.seeds);
         member self{settings_.name, incarnation_, settings_.zone, settings_.region, peers};
-        directory_ = std::make_unique<peer_directory>(loop_, peers_, peer_port_, self, settings_.seeds,
-                                                      [this](const auto& members) { take_members(members); });
+        cell_settings cell{std::string(cell_name), {}, std::move(self), {}, std::random_device{}(),
+                           settings_.seeds};
+        membership_ = std::make_unique<membership_runner>(loop_, platform_, peers_, peer_port_,
+                                                          std::move(cell), membership());
         log_event(log_level::info, "listening", {{"callers", callers}, {"admin", admin}, {"peers", peers}});
     }
 
     void add_sections() {
-        admin_.add_section("configuration", [this] { return state_json(*config_); });
+        admin_.add_section("configuration", [this] { return configuration_.state_json(); });
+        admin_.add_section("configuration_objects", [this] { return state_json(*config_); });
         admin_.add_section("ownership", [this] { return state_json(*owners_, settings_.name); });
+        admin_.add_section("membership", [this] { return membership_->state_json(); });
         admin_.add_section("queries", [this] { return state_json(queries_.state()); });
         durable_.add_sections(admin_);
         admin_.add_section("searchers", [this] { return state_json(owner_.state()); });
@@ -113,41 +128,52 @@
         if (config_->generation == 0) {
             return make_error(error_kind::starting, "no configuration is in force yet");
         }
+        if (owners_->epoch == 0) {
+            return make_error(error_kind::starting, "the owners of the searchers are not known yet");
+        }
+        if (configuration_.cut_off()) {
+            return make_error(error_kind::cut_off, "neither the platform nor any peer was heard of late");
+        }
         return std::nullopt;
     }
 
     void take_configuration(std::shared_ptr<const configuration> config) {
-        log_event(log_level::info, "configuration_in_force", {{"generation", config->generation}});
         config_ = std::move(config);
         queries_.set_configuration(config_);
         owner_.set_configuration(config_);
-        assign_searchers();
+        membership_->set_configuration(config_);
     }
 
-    void take_members(const std::vector<member>& members) {
-        members_ = members;
-        log_event(log_level::info, "members_changed", {{"members", members.size()}});
-        durable_.set_members(members);
-        assign_searchers();
+    membership_handlers membership() {
+        membership_handlers out;
+        out.on_ownership = [this](std::shared_ptr<const ownership> owners) {
+            owners_ = std::move(owners);
+            queries_.set_ownership(owners_);
+            configuration_.set_peers(peer_addresses());
+            durable_.set_members(owners_->members);
+        };
+        out.on_serve = [this](const auto& searchers, bool handed_over) {
+            owner_.set_owned(searchers, handed_over);
+        };
+        out.on_authority = [this](authority value) { owner_.set_authority(value); };
+        out.on_left = [this] { left_ = true; };
+        out.in_flight = [this](const auto& searcher) { return owner_.state().in_flight(searcher); };
+        return out;
     }
 
-    void assign_searchers() {
-        const auto epoch = owners_->epoch + 1;
-        owners_ = std::make_shared<ownership>(assign(epoch, members_, *config_));
-        std::vector<std::string> owned;
-        for (const auto& [searcher, owner] : owners_->owner_of) {
-            if (owner == settings_.name) {
-                owned.push_back(searcher);
-            }
-        }
-        owner_.set_owned(owned, false);
-        queries_.set_ownership(owners_);
+    /// One watch a cell is enough: the lease's holder watches, the others learn from it and from each other.
+    void follow_holder() {
+        configuration_.set_watching(membership_->is_holder());
+        loop_.run_after(holder_check_interval, [this] { follow_holder(); });
     }
 
-    void renew_authority() {
-        const auto until = loop_.now() + authority_length;
-        owner_.set_authority({until, until});
-        loop_.run_after(authority_renewal, [this] { renew_authority(); });
+    /// The members, and the seeds that are not known as members yet.
+    std::vector<std::string> peer_addresses() const {
+        auto addresses = settings_.seeds;
+        for (const auto& it : owners_->members) {
+            addresses.push_back(it.peer_address);
+        }
+        return addresses;
     }
 
     void refresh_gauges() {
@@ -178,6 +204,8 @@
         log_event(log_level::info, "draining", {{"open_requests", callers_.open_requests()}});
         loop_.run_after(balancer_notice, [this] {
             refusing_ = true;
+            leave_until_ = loop_.now() + leave_timeout;
+            membership_->leave();
             drain_until_ = loop_.now() + settings_.timing.drain;
             check_drained();
         });
@@ -186,7 +214,8 @@
     void check_drained() {
         const auto open = callers_.open_requests();
         const auto in_flight = owner_.state().in_flight();
-        if (open == 0 && in_flight == 0 && durable_.is_idle()) {
+        const bool handed_over = left_ || loop_.now() >= leave_until_;
+        if (open == 0 && in_flight == 0 && durable_.is_idle() && handed_over) {
             durable_.close();
             flush_until_ = loop_.now() + ledger_flush_time;
             return check_flushed();
@@ -225,13 +254,14 @@
     durable_services durable_;
     caller_service callers_;
     admin_service admin_;
-    configuration_watch configuration_;
-    std::unique_ptr<peer_directory> directory_;
+    configuration_runner configuration_;
+    std::unique_ptr<membership_runner> membership_;
     std::shared_ptr<const configuration> config_ = std::make_shared<configuration>();
     std::shared_ptr<const ownership> owners_ = std::make_shared<ownership>();
-    std::vector<member> members_;
     bool draining_ = false; ///< the health endpoint says so
     bool refusing_ = false; ///< new requests are refused
+    bool left_ = false;     ///< the cell's other members have this node's searchers
+    time_point leave_until_{};
     time_point drain_until_{};
     time_point flush_until_{};
     int exit_code_ = 0;
