--- a/standin/load_run.cpp
+++ b/standin/load_run.cpp
@@ -1,5 +1,6 @@
 #include "standin/load_run.hpp"
 
+#include "standin/curl_body.hpp"
 #include "standin/upstream_load.hpp"
 
 #include <curl/curl.h>
@@ -25,11 +26,6 @@
     return time_point(std::chrono::duration_cast<duration>(since_boot));
 }
 
-size_t append(char* data, size_t size, size_t count, void* target) {
-    static_cast<std::string*>(target)->append(data, size * count);
-    return size * count;
-}
-
 struct target {
     std::string address;
     bool healthy = false;
@@ -73,6 +69,8 @@
     void send_due(time_point now);
     void send(transfer* it);
     void send_query(const load_arrival& arrival);
+    void send_again(transfer& failed);
+    void send_to_next_target(std::unique_ptr<transfer> it);
     void ask_health(std::size_t index);
     void ask_all_health(time_point now);
     void step(duration wait);
@@ -196,21 +194,17 @@
     it->query = nlohmann::json{{"text", "q" + std::to_string(arrival.number % options_.queries)}}.dump();
     it->easy = curl_easy_init();
     it->headers = headers_of(*it);
-    it->target = next_target();
     const auto body = R"({"query":)" + it->query + R"(,"limit":)" + std::to_string(options_.limit) + "}";
-    const auto path = "/v1/services/" + options_.mix[arrival.kind].service + "/query";
-    curl_easy_setopt(it->easy, CURLOPT_URL, ("http://" + targets_[it->target].address + path).c_str());
     curl_easy_setopt(it->easy, CURLOPT_COPYPOSTFIELDS, body.c_str());
     curl_easy_setopt(it->easy, CURLOPT_HTTPHEADER, it->headers);
     curl_easy_setopt(it->easy, CURLOPT_TIMEOUT_MS, static_cast<long>(to_ms(options_.timeout)));
-    ++open_queries_;
-    send(it.release());
+    send_to_next_target(std::move(it));
 }
 
 /// Takes the transfer, until end().
 void load_runner::send(transfer* it) {
     curl_easy_setopt(it->easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(it->easy, CURLOPT_WRITEFUNCTION, append);
+    curl_easy_setopt(it->easy, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(it->easy, CURLOPT_WRITEDATA, &it->body);
     curl_easy_setopt(it->easy, CURLOPT_PRIVATE, it);
     curl_multi_add_handle(multi_, it->easy);
@@ -247,32 +241,39 @@
     curl_slist_free_all(done->headers);
 }
 
-/// A request that never left goes to the next node, as a balancer does it; its latency still counts from
-/// the time at which it was scheduled.
 void load_runner::end_query(transfer& it, CURLcode code, long status) {
     --open_queries_;
     if (code == CURLE_COULDNT_CONNECT) {
         targets_[it.target].healthy = false;
         if (it.tries + 1 < targets_.size()) {
-            auto again = std::make_unique<transfer>();
-            again->arrival = it.arrival;
-            again->request_id = it.request_id;
-            again->query = it.query;
-            again->tries = it.tries + 1;
-            again->easy = curl_easy_duphandle(it.easy);
-            again->headers = std::exchange(it.headers, nullptr);
-            again->target = next_target();
-            const auto path = "/v1/services/" + options_.mix[it.arrival.kind].service + "/query";
-            const auto url = "http://" + targets_[again->target].address + path;
-            curl_easy_setopt(again->easy, CURLOPT_URL, url.c_str());
-            ++open_queries_;
-            send(again.release());
+            send_again(it);
             return;
         }
     }
     statistics_.add(outcome_of(it, code, status));
 }
 
+/// A request that never left goes to the next node, as a balancer does it; its latency still counts from
+/// the time at which it was scheduled.
+void load_runner::send_again(transfer& failed) {
+    auto it = std::make_unique<transfer>();
+    it->arrival = failed.arrival;
+    it->request_id = failed.request_id;
+    it->query = failed.query;
+    it->tries = failed.tries + 1;
+    it->easy = curl_easy_duphandle(failed.easy);
+    it->headers = std::exchange(failed.headers, nullptr);
+    send_to_next_target(std::move(it));
+}
+
+void load_runner::send_to_next_target(std::unique_ptr<transfer> it) {
+    it->target = next_target();
+    const auto path = "/v1/services/" + options_.mix[it->arrival.kind].service + "/query";
+    curl_easy_setopt(it->easy, CURLOPT_URL, ("http://" + targets_[it->target].address + path).c_str());
+    ++open_queries_;
+    send(it.release());
+}
+
 load_outcome load_runner::outcome_of(const transfer& it, CURLcode code, long status) const {
     const auto& kind = options_.mix[it.arrival.kind];
     load_outcome outcome;
--- a/standin/upstream_load.cpp
+++ b/standin/upstream_load.cpp
@@ -1,5 +1,7 @@
 #include "standin/upstream_load.hpp"
 
+#include "standin/curl_body.hpp"
+
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
@@ -11,18 +13,13 @@
 
 constexpr long read_timeout_ms = 5000;
 
-size_t append(char* data, size_t size, size_t count, void* target) {
-    static_cast<std::string*>(target)->append(data, size * count);
-    return size * count;
-}
-
 std::string get(const std::string& url) {
     std::string body;
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), curl_easy_cleanup);
     curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, read_timeout_ms);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append);
+    curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &body);
     if (curl_easy_perform(easy.get()) != CURLE_OK) {
         throw std::runtime_error("cannot read " + url);
--- a/tests/standin/http_front_test.cpp
+++ b/tests/standin/http_front_test.cpp
@@ -1,4 +1,5 @@
 // The stand-ins over real sockets on loopback: answers that come later, encoded names, faults and kills.
+#include "standin/curl_body.hpp"
 #include "standin/platform.hpp"
 #include "standin/searcher.hpp"
 
@@ -21,11 +22,6 @@
     std::string body;
 };
 
-size_t append(char* data, size_t size, size_t count, void* target) {
-    static_cast<std::string*>(target)->append(data, size * count);
-    return size * count;
-}
-
 /// A client that takes turns with the loop of the stand-in under test.
 struct fixture {
     using easy_handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
@@ -52,7 +48,7 @@
             curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
         }
         curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, list);
-        curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append);
+        curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append_body);
         curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &answer.body);
         answer.code = transfer(easy.get());
         curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &answer.status);
