End the load tool's run when a node dies

Cause: a transfer made by curl_easy_duphandle for the next node never ended, and the last loop of a run had no bound; after kill -9 of one of three nodes the tool polled for ever (seen by gdb: no socket, no timer). Change: the retry makes its own handle; the last loop is bounded in time.

--- a/standin/load_run.cpp
+++ b/standin/load_run.cpp
@@ -69,7 +69,7 @@
     void send_due(time_point now);
     void send(transfer* it);
     void send_query(const load_arrival& arrival);
-    void send_again(transfer& failed);
+    void send_again(const transfer& failed);
     void send_to_next_target(std::unique_ptr<transfer> it);
     void ask_health(std::size_t index);
     void ask_all_health(time_point now);
@@ -112,7 +112,7 @@
         const auto until_next = next_.at < options_.length ? start_ + next_.at - steady_now() : longest_poll;
         step(std::clamp(until_next, duration(0), longest_poll));
     }
-    while (open_transfers_ > 0) {
+    while (open_transfers_ > 0 && steady_now() < last_answer + milliseconds(health_timeout_ms)) {
         step(longest_poll);
     }
     return std::move(statistics_);
@@ -192,12 +192,6 @@
     it->arrival = arrival;
     it->request_id = "load-" + std::to_string(options_.seed) + "-" + std::to_string(arrival.number);
     it->query = nlohmann::json{{"text", "q" + std::to_string(arrival.number % options_.queries)}}.dump();
-    it->easy = curl_easy_init();
-    it->headers = headers_of(*it);
-    const auto body = R"({"query":)" + it->query + R"(,"limit":)" + std::to_string(options_.limit) + "}";
-    curl_easy_setopt(it->easy, CURLOPT_COPYPOSTFIELDS, body.c_str());
-    curl_easy_setopt(it->easy, CURLOPT_HTTPHEADER, it->headers);
-    curl_easy_setopt(it->easy, CURLOPT_TIMEOUT_MS, static_cast<long>(to_ms(options_.timeout)));
     send_to_next_target(std::move(it));
 }
 
@@ -255,21 +249,25 @@
 
 /// A request that never left goes to the next node, as a balancer does it; its latency still counts from
 /// the time at which it was scheduled.
-void load_runner::send_again(transfer& failed) {
+void load_runner::send_again(const transfer& failed) {
     auto it = std::make_unique<transfer>();
     it->arrival = failed.arrival;
     it->request_id = failed.request_id;
     it->query = failed.query;
     it->tries = failed.tries + 1;
-    it->easy = curl_easy_duphandle(failed.easy);
-    it->headers = std::exchange(failed.headers, nullptr);
     send_to_next_target(std::move(it));
 }
 
 void load_runner::send_to_next_target(std::unique_ptr<transfer> it) {
     it->target = next_target();
+    it->easy = curl_easy_init();
+    it->headers = headers_of(*it);
+    const auto body = R"({"query":)" + it->query + R"(,"limit":)" + std::to_string(options_.limit) + "}";
     const auto path = "/v1/services/" + options_.mix[it->arrival.kind].service + "/query";
     curl_easy_setopt(it->easy, CURLOPT_URL, ("http://" + targets_[it->target].address + path).c_str());
+    curl_easy_setopt(it->easy, CURLOPT_COPYPOSTFIELDS, body.c_str());
+    curl_easy_setopt(it->easy, CURLOPT_HTTPHEADER, it->headers);
+    curl_easy_setopt(it->easy, CURLOPT_TIMEOUT_MS, static_cast<long>(to_ms(options_.timeout)));
     ++open_queries_;
     send(it.release());
 }
