--- a/tests/end_to_end/child_process.cpp
+++ b/tests/end_to_end/child_process.cpp
@@ -10,8 +10,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace skylarkseam::testing {
 namespace {
 
--- a/tests/end_to_end/durable_test.cpp
+++ b/tests/end_to_end/durable_test.cpp
@@ -23,7 +23,7 @@
     }
     http_response submit(const std::string& node) {
         auto request = all.query(node, "search", "caller", "request-" + std::to_string(++requests), "1");
-        request.headers.push_back("X-Class: deferrable");
+        request.headers.emplace_back("X-Class: deferrable");
         return all.fetch(request);
     }
     void set_platform_down(bool down) {
