Free the slot of a cancelled request when the searcher has ended it

Ruled out before by sampling: cold ramps, stalls of the event loop, slow upstream HTTP. Change: any HTTP status counts as ended.

--- a/src/skylarkseam/shell/owner_runner.cpp
+++ b/src/skylarkseam/shell/owner_runner.cpp
@@ -37,6 +37,7 @@
     if (http.status == 0) {
         return answer;
     }
+    answer.completed = true;
     answer.outcome = outcome_of(http.status);
     if (answer.outcome == subquery_outcome::answered) {
         const auto decoded = decode_search_answer(http.body, answer);
