Hold Malabar's sharing bound in a test that is known to fail

Cause: bench_sharing showed that a flooding caller moves the others' p99 by more than 10 % where searchers have two slots, and no test held that bound. Conclusion: red until the queue can hold the flooder off both slots.

--- a/tests/core/fair_queue_test.cpp
+++ b/tests/core/fair_queue_test.cpp
@@ -107,6 +107,22 @@
     BOOST_TEST(flooded.refused_part > 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(the_others_p99_moves_by_at_most_ten_percent_at_malabars_size,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    for (const std::uint32_t callers : {10U, 25U}) {
+        sharing_settings settings;
+        settings.callers = callers;
+        settings.slots = 2;
+        settings.kept = 1;
+        const auto calm = sharing_experiment(settings).run();
+        settings.flood = 2.0;
+        const auto flooded = sharing_experiment(settings).run();
+        BOOST_TEST(flooded.p99 <= calm.p99 * 11 / 10, callers << " callers: " << calm.p99.count()
+                                                              << " us without, " << flooded.p99.count()
+                                                              << " us with a flooding caller");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(shares_are_within_five_percent_of_the_rule_when_all_flood) {
     sharing_settings settings;
     settings.slots = 2;
