Let the settings that were only parsed take effect

Cause: five keys were checked and documented, and nothing read them: upstream_body_bytes, queue_length, platform_timeout_ms, peer_timeout_ms, health_poll_ms. Change: they reach the HTTP client, the owner, the platform client and the query runner; queue_length is by caller, as the queue counts it, with the default that was in force. Tests of the answer limit and of the queue length.

--- a/src/skylarkseam/core/dispatcher.cpp
+++ b/src/skylarkseam/core/dispatcher.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr duration slot_release_grace = milliseconds(20); ///< a searcher sees the deadline this much later
-constexpr std::uint32_t queue_limit_per_caller = 256;     ///< at one searcher
 constexpr std::size_t remembered_effects = 65536;
 
 std::string upstream_request_id(const open_subquery& it) {
@@ -96,7 +95,7 @@
         return reason;
     }
     const auto& batch = header.batch;
-    if (searcher->queue.queued_of(batch.caller) >= queue_limit_per_caller) {
+    if (searcher->queue.queued_of(batch.caller) >= queue_length_) {
         return "the caller's queue is full";
     }
     const auto wait = searcher->queue.expected_wait(batch.caller, batch.cls, searcher->slots_now());
--- a/src/skylarkseam/core/dispatcher.hpp
+++ b/src/skylarkseam/core/dispatcher.hpp
@@ -21,6 +21,8 @@
     using find_searcher = std::function<owned_searcher*(const std::string&)>;
 
     void set_authority(authority value) { authority_ = value; }
+    /// Subqueries of one caller that may wait for one searcher.
+    void set_queue_length(std::uint32_t length) { queue_length_ = length; }
     [[nodiscard]] const authority& held() const { return authority_; }
 
     void on_batch(stream_id stream, subquery_batch batch, const find_searcher& find, time_point now,
@@ -71,6 +73,7 @@
     void send(batch_header& header, subquery_reply value, output& out);
 
     authority authority_;
+    std::uint32_t queue_length_ = 256;
     subquery_table table_;
     std::unordered_map<stream_id, stream_state> streams_;
     timer_heap<due> timers_;
--- a/src/skylarkseam/core/owner.cpp
+++ b/src/skylarkseam/core/owner.cpp
@@ -7,7 +7,6 @@
 namespace skylarkseam {
 namespace {
 
-constexpr duration health_interval = milliseconds(500);
 constexpr duration health_poll_timeout = seconds(2); ///< a poll that was never answered is repeated
 
 constexpr name_table upstream_state_names{std::array{
@@ -34,6 +33,7 @@
     using output = std::vector<owner_output>;
 
     std::string self;
+    owner_options options;
     std::shared_ptr<const configuration> config = std::make_shared<configuration>();
     std::map<std::string, std::unique_ptr<owned_searcher>, std::less<>> searchers; ///< given-up ones too
     dispatcher work;
@@ -101,7 +101,7 @@
         it.poll_sent = now;
         out.emplace_back(owner_action::poll_health{it.name(), it.address()});
     }
-    it.next_poll = now + health_interval;
+    it.next_poll = now + options.health_poll;
     polls.add(it.next_poll, &it);
 }
 
@@ -162,9 +162,11 @@
     }
 }
 
-owner::owner(std::string self)
+owner::owner(std::string self, owner_options options)
     : impl_(std::make_unique<impl>()) {
     impl_->self = std::move(self);
+    impl_->options = options;
+    impl_->work.set_queue_length(options.queue_length);
 }
 
 owner::~owner() = default;
--- a/src/skylarkseam/core/owner.hpp
+++ b/src/skylarkseam/core/owner.hpp
@@ -127,9 +127,15 @@
     std::uint64_t crossed_answers = 0; ///< that belong to another request
 };
 
+/// What a node's settings say of its part as owner.
+struct owner_options {
+    duration health_poll = milliseconds(500); ///< between two polls of a searcher's health
+    std::uint32_t queue_length = 256;         ///< subqueries of one caller that wait for one searcher
+};
+
 class owner {
 public:
-    explicit owner(std::string self);
+    explicit owner(std::string self, owner_options options = {});
     ~owner();
     owner(const owner&) = delete;
     owner& operator=(const owner&) = delete;
--- a/src/skylarkseam/core/settings.hpp
+++ b/src/skylarkseam/core/settings.hpp
@@ -29,7 +29,7 @@
     std::uint32_t peer_streams = 4096;            ///< open streams on one connection between nodes
     std::uint32_t peer_connections = 2048;        ///< accepted connections from nodes
     std::size_t upstream_body_bytes = 16U << 20U; ///< of one searcher's answer
-    std::uint32_t queue_length = 10'000;          ///< subqueries that wait for one searcher
+    std::uint32_t queue_length = 256;             ///< subqueries of one caller that wait for one searcher
 };
 
 struct node_timing {
--- a/src/skylarkseam/shell/http_client.cpp
+++ b/src/skylarkseam/shell/http_client.cpp
@@ -10,7 +10,6 @@
 namespace skylarkseam {
 namespace {
 
-constexpr std::size_t max_answer_bytes = 8U << 20U;
 constexpr long default_connections_per_host = 128;
 constexpr long max_cached_connections = 16384;
 
@@ -33,6 +32,7 @@
     http_call_id id = 0;
     CURL* easy = nullptr;
     curl_slist* header_list = nullptr;
+    std::size_t answer_limit = 0;
     http_request request;
     http_response response;
     std::function<void(http_response)> on_answer;
@@ -45,7 +45,7 @@
 
 std::size_t write_body(char* data, std::size_t size, std::size_t count, void* user) {
     auto* const call = static_cast<curl_call*>(user);
-    if (call->response.body.size() + size * count > max_answer_bytes) {
+    if (call->response.body.size() + size * count > call->answer_limit) {
         return 0;
     }
     call->response.body.append(data, size * count);
@@ -81,14 +81,16 @@
 
 struct http_client::impl {
     event_loop& loop;
+    std::size_t answer_limit;
     CURLM* multi = nullptr;
     std::unordered_map<http_call_id, std::unique_ptr<curl_call>> calls;
     std::vector<CURL*> idle; ///< handles whose allocations are used again
     http_call_id last_id = 0;
     timer_id timer = -1;
 
-    explicit impl(event_loop& event_loop)
-        : loop(event_loop) {
+    impl(event_loop& event_loop, std::size_t most_answer_bytes)
+        : loop(event_loop)
+        , answer_limit(most_answer_bytes) {
         curl_global_init(CURL_GLOBAL_DEFAULT);
         multi = curl_multi_init();
         if (multi == nullptr) {
@@ -212,8 +214,8 @@
     }
 };
 
-http_client::http_client(event_loop& loop)
-    : impl_(std::make_unique<impl>(loop)) {}
+http_client::http_client(event_loop& loop, std::size_t answer_limit)
+    : impl_(std::make_unique<impl>(loop, answer_limit)) {}
 
 http_client::~http_client() = default;
 
@@ -256,6 +258,7 @@
 http_call_id http_client::send(http_request request, std::function<void(http_response)> on_answer) {
     auto call = std::make_unique<curl_call>();
     call->id = ++impl_->last_id;
+    call->answer_limit = impl_->answer_limit;
     call->easy = impl_->take_handle();
     call->request = std::move(request);
     call->on_answer = std::move(on_answer);
--- a/src/skylarkseam/shell/http_client.hpp
+++ b/src/skylarkseam/shell/http_client.hpp
@@ -42,7 +42,8 @@
 
 class http_client {
 public:
-    explicit http_client(event_loop& loop);
+    /// \param answer_limit  bytes of an answer's body; a longer one counts as no answer
+    explicit http_client(event_loop& loop, std::size_t answer_limit = 16U << 20U);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -52,13 +52,14 @@
     explicit node(const node_settings& settings)
         : settings_(settings)
         , incarnation_(new_incarnation())
-        , http_(loop_)
-        , platform_(http_, settings.platform_url)
+        , http_(loop_, settings.limits.upstream_body_bytes)
+        , platform_(http_, settings.platform_url, settings.timing.platform_timeout)
         , peers_(loop_, peer_limits_of(settings.limits))
         , peer_port_(loop_, peer_limits_of(settings.limits))
-        , owner_(loop_, http_, metrics_, settings.name)
+        , owner_(loop_, http_, metrics_, settings.name,
+                 {settings.timing.health_poll, settings.limits.queue_length})
         , queries_(loop_, peers_, owner_, metrics_, settings.name, std::to_string(incarnation_),
-                   std::random_device{}())
+                   std::random_device{}(), settings.timing.peer_timeout)
         , durable_(
               loop_, platform_, peers_, queries_, [this] { return config_; }, settings.name, incarnation_)
         , callers_(loop_, http_limits_of(settings.limits), {}, metrics_, handlers())
--- a/src/skylarkseam/shell/owner_runner.cpp
+++ b/src/skylarkseam/shell/owner_runner.cpp
@@ -74,11 +74,12 @@
 
 } // namespace
 
-owner_runner::owner_runner(event_loop& loop, http_client& http, metrics& measured, const std::string& self)
+owner_runner::owner_runner(event_loop& loop, http_client& http, metrics& measured, const std::string& self,
+                           owner_options options)
     : loop_(loop)
     , http_(http)
     , measured_(measured)
-    , owner_(self)
+    , owner_(self, options)
     , timer_(loop, [this] { handle(owner_event::time_passed{}); }) {}
 
 void owner_runner::serve(peer_server& server) {
--- a/src/skylarkseam/shell/owner_runner.hpp
+++ b/src/skylarkseam/shell/owner_runner.hpp
@@ -21,7 +21,8 @@
     /// Takes each reply of a batch; `last` with the final one.
     using reply_sink = std::function<void(subquery_reply reply, bool last)>;
 
-    owner_runner(event_loop& loop, http_client& http, metrics& measured, const std::string& self);
+    owner_runner(event_loop& loop, http_client& http, metrics& measured, const std::string& self,
+                 owner_options options = {});
 
     /// Answers the topics "subqueries", "cancel" and "status" of other nodes.
     void serve(peer_server& server);
--- a/src/skylarkseam/shell/platform_client.cpp
+++ b/src/skylarkseam/shell/platform_client.cpp
@@ -4,9 +4,6 @@
 namespace skylarkseam {
 namespace {
 
-constexpr duration call_timeout = seconds(2);
-constexpr duration watch_reserve = seconds(2); ///< beyond what the platform may hold a watch
-
 std::string url_of(const std::string& base, const platform_request& request) {
     if (request.method == platform_method::list_hosts) {
         return base + "/hosts";
@@ -21,10 +18,10 @@
     return url;
 }
 
-http_request to_http(const std::string& base, const platform_request& request) {
+http_request to_http(const std::string& base, const platform_request& request, duration timeout) {
     http_request http;
     http.url = url_of(base, request);
-    http.timeout = call_timeout;
+    http.timeout = timeout;
     switch (request.method) {
     case platform_method::create:
         http.method = "PUT";
@@ -41,7 +38,7 @@
         http.headers = {"If-Match: " + request.version};
         break;
     case platform_method::watch:
-        http.timeout = milliseconds(request.timeout_ms) + watch_reserve;
+        http.timeout = milliseconds(request.timeout_ms) + timeout;
         break;
     case platform_method::get:
     case platform_method::list:
@@ -63,17 +60,19 @@
 
 } // namespace
 
-platform_client::platform_client(http_client& http, std::string url)
+platform_client::platform_client(http_client& http, std::string url, duration timeout)
     : http_(http)
-    , url_(std::move(url)) {}
+    , url_(std::move(url))
+    , timeout_(timeout) {}
 
 void platform_client::call(const platform_request& request,
                            std::function<void(platform_response)> on_answer) {
     ++calls_;
     const auto method = request.method;
-    http_.send(to_http(url_, request), [method, on_answer = std::move(on_answer)](const http_response& http) {
-        on_answer(to_response(method, http));
-    });
+    http_.send(to_http(url_, request, timeout_),
+               [method, on_answer = std::move(on_answer)](const http_response& http) {
+                   on_answer(to_response(method, http));
+               });
 }
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/query_runner.cpp
+++ b/src/skylarkseam/shell/query_runner.cpp
@@ -2,14 +2,10 @@
 #include <skylarkseam/wire/peer_codec.hpp>
 
 namespace skylarkseam {
-namespace {
-
-constexpr duration control_call_timeout = seconds(1);
-
-} // namespace
 
 query_runner::query_runner(event_loop& loop, peer_client& peers, owner_runner& local, metrics& measured,
-                           std::string node, const std::string& incarnation, std::uint64_t seed)
+                           std::string node, const std::string& incarnation, std::uint64_t seed,
+                           duration peer_timeout)
     : loop_(loop)
     , peers_(peers)
     , local_(local)
@@ -17,6 +13,7 @@
     , node_(std::move(node))
     , self_(node_ + "." + incarnation)
     , coordinator_(self_, seed)
+    , peer_timeout_(peer_timeout)
     , timer_(loop, [this] { handle(coordinator_event::time_passed{}); })
     , owners_(std::make_shared<ownership>()) {}
 
@@ -112,7 +109,7 @@
         loop_.post([this, cancel = std::move(action.cancel)] { local_.cancel(cancel); });
         return;
     }
-    peers_.call(address_of(action.owner), "cancel", encode(action.cancel), control_call_timeout,
+    peers_.call(address_of(action.owner), "cancel", encode(action.cancel), peer_timeout_,
                 [](const stream_end&, const std::string&) {});
 }
 
@@ -123,7 +120,7 @@
         });
         return;
     }
-    peers_.call(address_of(action.owner), "status", action.group, control_call_timeout,
+    peers_.call(address_of(action.owner), "status", action.group, peer_timeout_,
                 [this, owner = action.owner](const stream_end&, const std::string& frame) {
                     auto status = decode_searcher_status(frame);
                     if (status) {
--- a/src/skylarkseam/shell/query_runner.hpp
+++ b/src/skylarkseam/shell/query_runner.hpp
@@ -20,7 +20,8 @@
     using answer_sink = std::function<void(result<query_answer> answer)>;
 
     query_runner(event_loop& loop, peer_client& peers, owner_runner& local, metrics& measured,
-                 std::string node, const std::string& incarnation, std::uint64_t seed);
+                 std::string node, const std::string& incarnation, std::uint64_t seed,
+                 duration peer_timeout = seconds(1));
 
     /// Starts a query; `on_answer` is called exactly once, unless the query is abandoned.
     query_id start(query_request request, answer_sink on_answer);
@@ -55,6 +56,7 @@
     std::string node_;
     std::string self_; ///< node and incarnation, as in subquery_batch::coordinator
     coordinator coordinator_;
+    duration peer_timeout_; ///< of a cancellation or a question about a group
     wakeup_timer timer_;
     std::shared_ptr<const ownership> owners_;
     query_id last_query_ = 0;
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -154,6 +154,19 @@
     BOOST_TEST(!response.detail.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_over_the_clients_limit_counts_as_none) {
+    http_client small(loop, 8);
+    auto request = post(std::string(16, 'x'));
+    request.url = "http://" + address + request.url;
+    std::string detail;
+    small.send(std::move(request), [&](const http_response& it) {
+        BOOST_TEST(it.status == 0);
+        BOOST_TEST(it.body.empty());
+        detail = it.detail;
+    });
+    BOOST_TEST(run_until([&] { return !detail.empty(); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_without_an_answer_may_have_run) {
     hanging_up_upstream upstream(loop);
     address = bound_address(upstream.fd);
--- a/tests/shell/owner_runner_test.cpp
+++ b/tests/shell/owner_runner_test.cpp
@@ -20,7 +20,7 @@
     std::string address = searcher.listen("127.0.0.1:0");
     http_client client{loop};
     metrics measured;
-    owner_runner runner{loop, client, measured, "node"};
+    owner_runner runner{loop, client, measured, "node", {milliseconds(500), 1}};
     std::vector<subquery_reply> replies;
 
     owner_fixture() {
@@ -82,6 +82,16 @@
     BOOST_TEST(searches.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(beyond_the_queue_length_a_callers_request_is_refused_as_not_run) {
+    submit(1);
+    BOOST_REQUIRE(run_until([this] { return searches.size() == 1; }));
+    submit(2);
+    submit(3);
+    BOOST_REQUIRE(run_until([this] { return replies.size() == 1; }));
+    BOOST_TEST(replies.front().query == 3U);
+    BOOST_TEST((replies.front().outcome == subquery_outcome::not_run_refused));
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_request_gives_its_slot_back_when_the_searcher_has_ended_it) {
     submit(1);
     BOOST_REQUIRE(run_until([this] { return searches.size() == 1; }));
