Read cell messages with the codecs' common reader

Cause: cell_codec.cpp had its own copy of the msgpack array reader. Change: it uses msgpack_message.hpp's, which can now also read into a field; its tighter limits stay its own.

--- a/src/skylarkseam/wire/cell_codec.cpp
+++ b/src/skylarkseam/wire/cell_codec.cpp
@@ -1,18 +1,14 @@
 #include <skylarkseam/wire/cell_codec.hpp>
 #include <skylarkseam/wire/cell_json.hpp>
-
-#include <msgpack.hpp>
+#include <skylarkseam/wire/msgpack_message.hpp>
 
 namespace skylarkseam {
 namespace {
 
-constexpr std::uint32_t codec_version = 1;
 constexpr std::uint32_t message_fields = 6;
-constexpr std::size_t max_elements = 1U << 16U;
-constexpr std::size_t max_bytes = 1U << 20U;
-constexpr std::size_t max_depth = 8;
-
-using packer = msgpack::packer<msgpack::sbuffer>;
+constexpr std::size_t most_elements = 1U << 16U;
+constexpr std::size_t most_bytes = 1U << 20U;
+constexpr std::size_t deepest_nesting = 8;
 
 template <typename... Fields>
 void pack_all(packer& pack, const Fields&... fields) {
@@ -45,31 +41,10 @@
     void operator()(const cell_message::release_received& it) const { pack_all(pack, it.searchers); }
 };
 
-/// Reads the elements of one array in order; throws msgpack::type_error for another number or type.
-class array_reader {
-public:
-    array_reader(const msgpack::object& from, std::uint32_t fields) {
-        if (from.type != msgpack::type::ARRAY || from.via.array.size != fields) {
-            throw msgpack::type_error();
-        }
-        at_ = from.via.array.ptr;
-    }
-
-    template <typename T>
-    void operator()(T& into) {
-        (at_++)->convert(into);
-    }
-
-    const msgpack::object& next() { return *at_++; }
-
-private:
-    const msgpack::object* at_;
-};
-
 template <typename... Fields>
 void read_all(const msgpack::object& from, Fields&... fields) {
-    array_reader read(from, sizeof...(fields));
-    (read(fields), ...);
+    field_reader reader(from, sizeof...(fields));
+    (reader.read_into(fields), ...);
 }
 
 void read_body(const msgpack::object& from, cell_message::probe& it) {
@@ -129,14 +104,13 @@
 
 cell_envelope read_message(const msgpack::object& from) {
     cell_envelope message;
-    std::size_t kind = 0;
-    array_reader read(from, message_fields);
-    read(message.cell);
-    read(message.from);
-    read(message.incarnation);
-    read(message.address);
-    read(kind);
-    message.body = read_kind(kind, read.next());
+    field_reader reader(from, message_fields);
+    reader.read_into(message.cell);
+    reader.read_into(message.from);
+    reader.read_into(message.incarnation);
+    reader.read_into(message.address);
+    const auto kind = reader.next<std::size_t>();
+    message.body = read_kind(kind, reader.next_object());
     return message;
 }
 
@@ -161,7 +135,8 @@
 
 result<std::vector<cell_envelope>> decode_cell_messages(std::string_view bytes) {
     try {
-        const msgpack::unpack_limit limits(max_elements, max_elements, max_bytes, max_bytes, 0, max_depth);
+        const msgpack::unpack_limit limits(most_elements, most_elements, most_bytes, most_bytes, 0,
+                                           deepest_nesting);
         const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits);
         const auto& root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size == 0 ||
--- a/src/skylarkseam/wire/msgpack_message.hpp
+++ b/src/skylarkseam/wire/msgpack_message.hpp
@@ -48,6 +48,11 @@
         return (at_++)->as<T>();
     }
 
+    template <typename T>
+    void read_into(T& value) {
+        (at_++)->convert(value);
+    }
+
     const msgpack::object& next_object() { return *at_++; }
 
     duration next_duration() { return duration(next<std::int64_t>()); }
