--- a/src/skylarkseam/cli/commands.hpp
+++ b/src/skylarkseam/cli/commands.hpp
@@ -17,6 +17,7 @@
 using arguments = std::vector<std::string>; ///< without the program's name and the command's
 
 exit_code node_command(const arguments& args);
+exit_code gateway_command(const arguments& args);
 exit_code check_command(const arguments& args);
 exit_code apply_command(const arguments& args);
 exit_code get_command(const arguments& args);
--- /dev/null
+++ b/src/skylarkseam/cli/gateway_command.cpp
@@ -0,0 +1,51 @@
+#include <skylarkseam/cli/command_line.hpp>
+#include <skylarkseam/cli/commands.hpp>
+#include <skylarkseam/cli/files.hpp>
+#include <skylarkseam/shell/gateway_node.hpp>
+#include <skylarkseam/wire/settings_yaml.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <platform/dialect.hpp>
+#include <platform/store_codec.hpp>
+
+namespace skylarkseam {
+namespace {
+
+constexpr const char* settings_variable =
+    "SKYLARKSEAM_CONFIG"; ///< names the settings file where no option does
+
+std::string default_settings() {
+    const char* const path = std::getenv(settings_variable);
+    return path == nullptr ? std::string() : std::string(path);
+}
+
+} // namespace
+
+exit_code gateway_command(const arguments& args) {
+    command_line line("skylarkseam gateway",
+                      "Runs a node as a gateway on the users' platform until SIGTERM has drained it.");
+    line.add("settings", "the node's settings, a YAML file; default: the file that SKYLARKSEAM_CONFIG names",
+             default_settings());
+    if (const auto ended = line.parse(args)) {
+        return *ended;
+    }
+    const auto source = read_source(line.value("settings"));
+    if (!source) {
+        std::cerr << source.error().detail << '\n';
+        return exit_code::refused;
+    }
+    const auto settings = parse_settings(source.value());
+    if (!settings.faults.empty()) {
+        print_faults(settings.faults);
+        return exit_code::refused;
+    }
+    if (!settings.value.gateway) {
+        std::cerr << line.value("settings") << ": the section \"gateway\" is missing\n";
+        return exit_code::refused;
+    }
+    const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer};
+    return run_gateway(settings.value, binding) == 0 ? exit_code::done : exit_code::refused;
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/core/settings.hpp
+++ b/src/skylarkseam/core/settings.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
+#include <skylarkseam/gateway/settings.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +53,7 @@
     log_level level = log_level::info;
     node_limits limits;
     node_timing timing;
+    std::optional<gateway_settings> gateway; ///< present: the node runs as a gateway
 };
 
 } // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -0,0 +1,154 @@
+#include <skylarkseam/gateway/directory.hpp>
+
+namespace skylarkseam {
+
+directory::directory(placement_view view, directory_timing timing, observer on_change)
+    : view_(std::move(view))
+    , timing_(timing)
+    , on_change_(std::move(on_change)) {}
+
+void directory::add(const searcher_record& record, time_point now) {
+    auto it = std::make_shared<searcher>();
+    it->record = record;
+    const auto region = view_.region_of_zone.find(record.zone);
+    it->region = region == view_.region_of_zone.end() ? std::string() : region->second;
+    if (record.zone == view_.zone) {
+        it->far = distance::same_zone;
+    } else if (it->region == view_.region && !it->region.empty()) {
+        it->far = distance::same_region;
+    }
+    it->evacuated = evacuated_.contains(record.zone);
+    it->cold_until = now + record.cold_for;
+    if (record.draining) {
+        it->leaving = now;
+    }
+    by_id_[record.id] = it;
+    by_service_[record.service].push_back(it);
+    on_change_(*it, record.draining ? "draining" : "registered", "entry");
+}
+
+void directory::put(const searcher_record& record, time_point now) {
+    removals_.erase(record.id);
+    const auto found = by_id_.find(record.id);
+    if (found == by_id_.end()) {
+        add(record, now);
+        return;
+    }
+    auto& known = *found->second;
+    const bool same_start = known.record.started_at == record.started_at &&
+                            known.record.address == record.address &&
+                            known.record.service == record.service && known.record.zone == record.zone;
+    if (!same_start) {
+        on_change_(known, "forgotten", "it started again");
+        drop(record.id);
+        add(record, now);
+        return;
+    }
+    if (!known.registered) {
+        on_change_(known, "registered", "its entry is back");
+    }
+    known.registered = true;
+    if (record.draining != known.record.draining) {
+        on_change_(known, record.draining ? "draining" : "ready", "entry");
+    }
+    if (!record.draining) {
+        known.leaving.reset();
+    } else if (!known.leaving) {
+        known.leaving = now;
+    }
+    if (record.cold_for != known.record.cold_for) {
+        known.cold_until = now + record.cold_for;
+    }
+    known.record = record;
+}
+
+void directory::remove(const std::string& id, bool store_was_away, time_point now) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end() || !found->second->registered) {
+        return;
+    }
+    auto& it = *found->second;
+    it.registered = false;
+    // While the store was away an entry lapses though its searcher lives, so its searcher stays in use.
+    if (!store_was_away && !it.leaving) {
+        it.leaving = now;
+    }
+    removals_[id] = now + timing_.removal_grace;
+    on_change_(it, "entry_gone", store_was_away ? "the store was away" : "entry removed");
+}
+
+void directory::retain(const std::set<std::string>& listed, bool store_was_away, time_point now) {
+    for (const auto& [id, it] : by_id_) {
+        if (!listed.contains(id)) {
+            remove(id, store_was_away, now);
+        }
+    }
+}
+
+void directory::set_evacuated(const std::set<std::string>& zones) {
+    evacuated_ = zones;
+    for (const auto& [id, it] : by_id_) {
+        const bool out = zones.contains(it->record.zone);
+        if (out != it->evacuated) {
+            it->evacuated = out;
+            on_change_(*it, out ? "evacuated" : "zone_back", "zone " + it->record.zone);
+        }
+    }
+}
+
+void directory::expire(time_point now) {
+    for (auto it = removals_.begin(); it != removals_.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        const auto found = by_id_.find(it->first);
+        if (found != by_id_.end()) {
+            on_change_(*found->second, "forgotten", "its entry did not come back");
+            drop(it->first);
+        }
+        it = removals_.erase(it);
+    }
+}
+
+std::optional<time_point> directory::next_wakeup() const {
+    std::optional<time_point> next;
+    for (const auto& [id, when] : removals_) {
+        if (!next || when < *next) {
+            next = when;
+        }
+    }
+    return next;
+}
+
+void directory::mark_replaced(searcher& it) {
+    if (it.fault != searcher_fault::replaced) {
+        it.fault = searcher_fault::replaced;
+        on_change_(it, "replaced", "another searcher has its address");
+    }
+}
+
+const std::vector<searcher_ptr>& directory::of_service(const std::string& service) const {
+    static const std::vector<searcher_ptr> none;
+    const auto it = by_service_.find(service);
+    return it == by_service_.end() ? none : it->second;
+}
+
+bool directory::drained(const searcher& it, time_point now) const {
+    return it.leaving && now >= *it.leaving + timing_.drain_grace;
+}
+
+void directory::drop(const std::string& id) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return;
+    }
+    auto& list = by_service_[found->second->record.service];
+    std::erase(list, found->second);
+    if (list.empty()) {
+        by_service_.erase(found->second->record.service);
+    }
+    by_id_.erase(found);
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -0,0 +1,32 @@
+// What a request of one route usually takes at a searcher, and how far away each zone is.
+#pragma once
+
+#include <skylarkseam/gateway/searcher.hpp>
+
+#include <map>
+#include <string>
+
+namespace skylarkseam {
+
+/// A running median: robust against the few requests that meet a paused or slow searcher.
+class latency_estimate {
+public:
+    void add(duration latency);
+    [[nodiscard]] duration median() const { return median_; }
+
+private:
+    duration median_ = milliseconds(20); ///< until the first answers are in
+    std::uint32_t samples_ = 0;
+};
+
+/// Round trips to the zones, from the times that connections took to open.
+class round_trips {
+public:
+    void add(const std::string& zone, duration connect_time);
+    [[nodiscard]] duration to(const searcher& it) const;
+
+private:
+    std::map<std::string, duration> shortest_;
+};
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -0,0 +1,81 @@
+#include <skylarkseam/core/name_table.hpp>
+#include <skylarkseam/gateway/request_run.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkseam {
+namespace {
+
+constexpr double rounding = 1e-9; ///< shares are fractions that have no exact binary form
+
+constexpr name_table outcome_names{std::array{
+    named_value<attempt_outcome>{attempt_outcome::answered, "answered"},
+    named_value<attempt_outcome>{attempt_outcome::refused, "refused"},
+    named_value<attempt_outcome>{attempt_outcome::replaced, "replaced"},
+    named_value<attempt_outcome>{attempt_outcome::not_sent, "not_sent"},
+    named_value<attempt_outcome>{attempt_outcome::broken, "broken"},
+}};
+
+constexpr name_table reason_names{std::array{
+    named_value<refusal_reason>{refusal_reason::not_ready, "not_ready"},
+    named_value<refusal_reason>{refusal_reason::no_route, "no_route"},
+    named_value<refusal_reason>{refusal_reason::no_searcher, "no_searcher"},
+    named_value<refusal_reason>{refusal_reason::overloaded, "overloaded"},
+    named_value<refusal_reason>{refusal_reason::shards_down, "shards_down"},
+    named_value<refusal_reason>{refusal_reason::all_refused, "all_refused"},
+    named_value<refusal_reason>{refusal_reason::broken, "broken"},
+    named_value<refusal_reason>{refusal_reason::deadline, "deadline"},
+    named_value<refusal_reason>{refusal_reason::draining, "draining"},
+}};
+
+} // namespace
+
+std::string_view name_of(attempt_outcome outcome) {
+    return outcome_names.name_of(outcome);
+}
+
+std::string_view name_of(refusal_reason reason) {
+    return reason_names.name_of(reason);
+}
+
+std::size_t request_run::count(part_state state) const {
+    return static_cast<std::size_t>(
+        std::count_if(parts.begin(), parts.end(), [state](const auto& it) { return it.state == state; }));
+}
+
+std::size_t request_run::hopeful() const {
+    return parts.size() - count(part_state::failed);
+}
+
+bool request_run::may_have_run() const {
+    return std::any_of(parts.begin(), parts.end(), [](const auto& it) {
+        return it.may_have_run || it.state == part_state::answered || !it.open.empty();
+    });
+}
+
+std::size_t request_run::least_parts() const {
+    const auto* const plan = shards();
+    if (plan == nullptr) {
+        return 1;
+    }
+    const double least = plan->least_share * static_cast<double>(parts.size());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - rounding)));
+}
+
+request_summary request_run::summary(time_point now) const {
+    request_summary out;
+    out.id = id;
+    out.route = route->name;
+    out.config_version = table->version;
+    out.elapsed = now - arrived;
+    out.objective = route->objective;
+    out.parts = static_cast<std::uint32_t>(parts.size());
+    out.parts_missing = static_cast<std::uint32_t>(parts.size() - count(part_state::answered));
+    out.attempts = attempts;
+    out.extra_attempts = extra_attempts;
+    out.detail = last_fault;
+    return out;
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/main.cpp
+++ b/src/skylarkseam/main.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::array commands{
     command{"node", &node_command, "run a node"},
+    command{"gateway", &gateway_command, "run a node as a gateway on the platform"},
     command{"check", &check_command, "check configuration files"},
     command{"apply", &apply_command, "apply a configuration"},
     command{"get", &get_command, "print the configuration in force"},
--- a/src/skylarkseam/shell/admin_service.cpp
+++ b/src/skylarkseam/shell/admin_service.cpp
@@ -32,14 +32,14 @@
         }
     }
     if (request.method == "GET" && request.path == "/state") {
-        answer({200, state_json(), "application/json", {}});
+        answer({200, state_json(), "application/json", {}, false});
     } else if (request.method == "GET" && request.path == "/metrics") {
         refresh_();
-        answer({200, measured_.prometheus_text(), "text/plain; version=0.0.4", {}});
+        answer({200, measured_.prometheus_text(), "text/plain; version=0.0.4", {}, false});
     } else if (request.method == "GET" && request.path == "/healthz") {
         const auto fault = unfit_();
         answer(fault ? error_response(*fault)
-                     : outgoing_response{200, R"({"status":"ok"})", "application/json", {}});
+                     : outgoing_response{200, R"({"status":"ok"})", "application/json", {}, false});
     } else {
         answer(error_response(make_error(error_kind::not_found, "no such path: " + request.path)));
     }
--- a/src/skylarkseam/shell/event_loop.cpp
+++ b/src/skylarkseam/shell/event_loop.cpp
@@ -8,8 +8,13 @@
 #include <ace/Time_Policy.h>
 #include <ace/Timer_Heap_T.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <cstring>
+#include <ctime>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -18,7 +23,7 @@
 namespace skylarkseam {
 namespace {
 
-constexpr std::size_t max_descriptors = 16384;
+constexpr rlim_t most_reactor_descriptors = 2048; ///< numbers up to which ACE keeps a table; it watches three
 constexpr duration longest_wait = seconds(1);
 
 using ace_time = ACE_Time_Value_T<ACE_Delegating_Time_Policy>;
@@ -29,15 +34,27 @@
                           static_cast<suseconds_t>((value - whole).count()));
 }
 
-/// Monotonic time, which a test can stop and move.
+/// The size of the reactor's table: it does not open for more descriptors than the process may have.
+std::size_t reactor_descriptors() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return most_reactor_descriptors;
+    }
+    return static_cast<std::size_t>(std::min(limit.rlim_cur, most_reactor_descriptors));
+}
+
+/// Monotonic time that goes on while the machine is suspended, so that a deadline passes with the client's
+/// own clock; a test can stop and move it.
 class runtime_clock : public ACE_Dynamic_Time_Policy_Base {
 public:
     [[nodiscard]] time_point now() const {
         if (paused_) {
             return paused_at_;
         }
-        const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-        return time_point{std::chrono::duration_cast<duration>(since_boot)};
+        timespec since_boot{};
+        ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+        return time_point{std::chrono::duration_cast<duration>(seconds(since_boot.tv_sec) +
+                                                               std::chrono::nanoseconds(since_boot.tv_nsec))};
     }
 
     void pause() {
@@ -78,62 +95,53 @@
     std::function<void()> task_;
 };
 
-/// One watched descriptor.
-class descriptor_handler : public ACE_Event_Handler {
+/// Tells the reactor of the descriptor set: the reactor itself takes one ready descriptor a wait and arms it
+/// anew each time, the set takes all that are ready at once.
+class descriptor_set_handler : public ACE_Event_Handler {
 public:
-    explicit descriptor_handler(int fd)
-        : fd_(fd) {}
+    explicit descriptor_set_handler(descriptor_set& set)
+        : set_(set) {}
 
-    [[nodiscard]] ACE_HANDLE get_handle() const override { return fd_; }
+    [[nodiscard]] ACE_HANDLE get_handle() const override { return set_.fd(); }
 
     int handle_input(ACE_HANDLE) override {
-        on_ready({true, false});
-        return 0;
-    }
-
-    int handle_output(ACE_HANDLE) override {
-        on_ready({false, true});
+        set_.dispatch();
         return 0;
     }
 
-    /// A hang-up reaches the owner as readable: its read reports the end.
     int handle_close(ACE_HANDLE, ACE_Reactor_Mask) override { return 0; }
 
-    std::function<void(readiness)> on_ready;
-
 private:
-    int fd_;
+    descriptor_set& set_;
 };
 
-ACE_Reactor_Mask to_mask(readiness interest) {
-    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-    if (interest.readable) {
-        ACE_SET_BITS(mask, ACE_Event_Handler::READ_MASK);
-    }
-    if (interest.writable) {
-        ACE_SET_BITS(mask, ACE_Event_Handler::WRITE_MASK);
-    }
-    return mask;
-}
-
 } // namespace
 
 struct event_loop::impl {
     runtime_clock clock;
     timer_heap timers;
-    ACE_Dev_Poll_Reactor poll_reactor{max_descriptors, true};
+    ACE_Dev_Poll_Reactor poll_reactor{reactor_descriptors(), true};
     ACE_Reactor reactor{&poll_reactor, false};
+    descriptor_set descriptors;
+    descriptor_set_handler descriptors_handler{descriptors};
     std::unordered_map<timer_id, std::unique_ptr<timer_handler>> timer_handlers;
-    std::unordered_map<int, std::unique_ptr<descriptor_handler>> descriptors;
-    // Handlers that were removed during a callback, perhaps their own; freed between callbacks.
+    // Timers that were cancelled during a callback, perhaps their own; freed between callbacks.
     std::vector<std::unique_ptr<ACE_Event_Handler>> retired;
     std::vector<std::function<void()>> posted;
     bool stopping = false;
     int signal_fd = -1;
+    std::function<void()> on_reload;
+    std::function<void()> on_dump;
 
     impl() {
+        if (!poll_reactor.initialized()) {
+            throw std::runtime_error(std::string("the reactor does not open: ") + std::strerror(errno));
+        }
         timers.set_time_policy(ACE_Delegating_Time_Policy(&clock));
         reactor.timer_queue(&timers);
+        if (reactor.register_handler(&descriptors_handler, ACE_Event_Handler::READ_MASK) != 0) {
+            throw std::runtime_error("the reactor refused the descriptor set");
+        }
     }
 
     ~impl() {
@@ -141,9 +149,8 @@
         for (auto& [id, it] : timer_handlers) {
             reactor.cancel_timer(id, nullptr, 1);
         }
-        for (auto& [fd, it] : descriptors) {
-            reactor.remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-        }
+        reactor.remove_handler(&descriptors_handler,
+                               ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         if (signal_fd >= 0) {
             ::close(signal_fd);
         }
@@ -213,28 +220,16 @@
 }
 
 void event_loop::watch(int fd, readiness interest, std::function<void(readiness)> on_ready) {
-    const auto it = impl_->descriptors.find(fd);
-    if (it != impl_->descriptors.end()) {
-        it->second->on_ready = std::move(on_ready);
-        impl_->reactor.mask_ops(fd, to_mask(interest), ACE_Reactor::SET_MASK);
-        return;
-    }
-    auto handler = std::make_unique<descriptor_handler>(fd);
-    handler->on_ready = std::move(on_ready);
-    if (impl_->reactor.register_handler(handler.get(), to_mask(interest)) != 0) {
-        throw std::runtime_error("the reactor refused a descriptor");
-    }
-    impl_->descriptors[fd] = std::move(handler);
+    impl_->descriptors.watch(fd, interest, std::move(on_ready));
 }
 
 void event_loop::unwatch(int fd) {
-    const auto it = impl_->descriptors.find(fd);
-    if (it == impl_->descriptors.end()) {
-        return;
-    }
-    impl_->reactor.remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    impl_->retired.push_back(std::move(it->second));
-    impl_->descriptors.erase(it);
+    impl_->descriptors.unwatch(fd);
+}
+
+void event_loop::on_operator_signals(std::function<void()> on_reload, std::function<void()> on_dump) {
+    impl_->on_reload = std::move(on_reload);
+    impl_->on_dump = std::move(on_dump);
 }
 
 void event_loop::on_termination(std::function<void()> on_signal) {
@@ -242,16 +237,29 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    if (impl_->on_reload) {
+        sigaddset(&signals, SIGHUP);
+        sigaddset(&signals, SIGUSR1);
+    }
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     impl_->signal_fd = ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     if (impl_->signal_fd < 0) {
         throw std::runtime_error("signalfd failed");
     }
     const int fd = impl_->signal_fd;
-    watch(fd, {true, false}, [fd, on_signal = std::move(on_signal)](readiness) {
+    watch(fd, {true, false}, [this, fd, on_signal = std::move(on_signal)](readiness) {
         signalfd_siginfo info{};
         while (::read(fd, &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-            on_signal();
+            switch (info.ssi_signo) {
+            case SIGHUP:
+                impl_->on_reload();
+                break;
+            case SIGUSR1:
+                impl_->on_dump();
+                break;
+            default:
+                on_signal();
+            }
         }
     });
 }
--- a/src/skylarkseam/shell/event_loop.hpp
+++ b/src/skylarkseam/shell/event_loop.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
+#include <skylarkseam/shell/descriptor_set.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -12,14 +13,9 @@
 
 using timer_id = std::int64_t;
 
-/// Which kind of readiness a descriptor is watched for, and was found to have.
-struct readiness {
-    bool readable = false;
-    bool writable = false;
-};
-
 class event_loop {
 public:
+    /// Throws std::runtime_error where the reactor does not open.
     event_loop();
     ~event_loop();
     event_loop(const event_loop&) = delete;
@@ -46,6 +42,9 @@
     /// Calls `on_signal` in the loop's thread for each SIGTERM and SIGINT.
     void on_termination(std::function<void()> on_signal);
 
+    /// Calls `on_reload` for each SIGHUP and `on_dump` for each SIGUSR1; to be set before on_termination().
+    void on_operator_signals(std::function<void()> on_reload, std::function<void()> on_dump);
+
     /// Runs until stop().
     void run();
     void stop();
--- /dev/null
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -0,0 +1,154 @@
+#include <skylarkseam/shell/gateway_front.hpp>
+#include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/request_forwarding.hpp>
+
+namespace skylarkseam {
+
+gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
+                             std::size_t answer_limit, gateway_options options, metrics& measured)
+    : loop_(loop)
+    , binding_(binding)
+    , measured_(measured)
+    , gateway_(std::move(options))
+    , pool_(loop, answer_limit,
+            [this](upstream_call_id id, upstream_result result) {
+                deliver(
+                    gateway_event::attempt_ended{id, to_attempt_result(std::move(result), binding_.dialect)});
+            })
+    , server_(
+          loop, limits,
+          [this](incoming_request request, respond answer) { take(std::move(request), std::move(answer)); },
+          [this](std::uint64_t id) {
+              open_.erase(id);
+              deliver(gateway_event::client_left{id});
+          })
+    , timer_(loop, [this] { deliver(gateway_event::time_passed{}); }) {}
+
+void gateway_front::take(incoming_request request, respond answer) {
+    last_request_ = loop_.now();
+    auto event = to_gateway_request(request, binding_.dialect);
+    open_[request.id] = {std::move(request), std::move(answer), last_request_};
+    deliver(gateway_event::request_arrived{std::move(event)});
+}
+
+void gateway_front::deliver(gateway_input event) {
+    events_.push_back(std::move(event));
+    if (delivering_) {
+        return;
+    }
+    delivering_ = true;
+    while (!events_.empty()) {
+        auto next = std::move(events_.front());
+        events_.pop_front();
+        std::vector<gateway_output> actions;
+        gateway_.handle(std::move(next), loop_.now(), actions);
+        perform(std::move(actions));
+    }
+    delivering_ = false;
+    timer_.set(gateway_.next_wakeup());
+}
+
+void gateway_front::perform(std::vector<gateway_output> actions) {
+    struct visitor {
+        gateway_front& self;
+        void operator()(gateway_action::send& it) const { self.send(it); }
+        void operator()(gateway_action::cancel& it) const { self.pool_.cancel(it.id); }
+        void operator()(gateway_action::answer& it) const { self.answer(it); }
+        void operator()(gateway_action::note_searcher& it) const {
+            log_event(log_level::info, "searcher",
+                      {{"searcher", it.searcher},
+                       {"service", it.service},
+                       {"belief", it.belief},
+                       {"reason", it.reason}});
+        }
+    };
+    for (auto& it : actions) {
+        std::visit(visitor{*this}, it);
+    }
+}
+
+void gateway_front::send(gateway_action::send& action) {
+    const auto found = open_.find(action.token);
+    if (found == open_.end()) {
+        return;
+    }
+    upstream_call call;
+    call.id = action.id;
+    call.address = action.address;
+    call.request =
+        to_upstream_request(found->second.request, binding_.dialect, action.searcher, action.time_left);
+    call.connect_timeout = action.connect_timeout;
+    pool_.send(std::move(call));
+}
+
+void gateway_front::answer(gateway_action::answer& action) {
+    const auto found = open_.find(action.token);
+    if (found == open_.end()) {
+        return;
+    }
+    auto open = std::move(found->second);
+    open_.erase(found);
+    duration retry_after{};
+    if (const auto* const refused = std::get_if<gateway_answer::refused>(&action.value)) {
+        retry_after = refused->retry_after;
+    }
+    auto response = to_client_response(std::move(action.value), binding_.dialect);
+    response.close = draining_;
+    log_answer(action, response.status, retry_after);
+    measured_.observe("request_seconds", "route=\"" + action.summary.route + "\"",
+                      loop_.now() - open.arrived);
+    measured_.count("answers", "status=\"" + std::to_string(response.status) + "\"");
+    open.answer(std::move(response));
+}
+
+void gateway_front::log_answer(const gateway_action::answer& action, int status, duration retry_after) {
+    const auto& it = action.summary;
+    const bool plain = it.parts > 0 && it.parts_missing == 0 && it.elapsed <= it.objective;
+    log_event(plain ? log_level::debug : log_level::info, "answer",
+              {{"request", it.id},
+               {"route", it.route},
+               {"status", static_cast<std::uint64_t>(status)},
+               {"version", it.config_version},
+               {"elapsed_ms", static_cast<std::uint64_t>(to_ms(it.elapsed))},
+               {"objective_ms", static_cast<std::uint64_t>(to_ms(it.objective))},
+               {"parts", it.parts},
+               {"missing", it.parts_missing},
+               {"attempts", it.attempts},
+               {"extra", it.extra_attempts},
+               {"retry_after_ms", static_cast<std::uint64_t>(to_ms(retry_after))},
+               {"fault", it.detail}});
+}
+
+void gateway_front::refuse_open() {
+    for (auto& [token, it] : open_) {
+        outgoing_response response;
+        response.status = 504;
+        response.body = R"({"error":"draining"})";
+        response.close = true;
+        log_event(log_level::warning, "answer_cut_by_stop",
+                  {{"request", it.request.header(binding_.dialect.request_id)}});
+        it.answer(std::move(response));
+    }
+    open_.clear();
+}
+
+bool gateway_front::set_table(std::shared_ptr<const routing_table> table) {
+    std::vector<gateway_output> actions;
+    const auto limits = table->limits;
+    const bool newer = gateway_.set_table(std::move(table), loop_.now(), actions);
+    if (newer) {
+        server_.set_body_limit(limits.body_bytes);
+    }
+    perform(std::move(actions));
+    return newer;
+}
+
+void gateway_front::update(const std::function<void(directory& searchers)>& change) {
+    std::vector<gateway_output> actions;
+    change(gateway_.searchers());
+    gateway_.on_searchers_changed(loop_.now(), actions);
+    perform(std::move(actions));
+    timer_.set(gateway_.next_wakeup());
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -0,0 +1,71 @@
+// The clients' side of a gateway: reads requests, drives the decisions, sends what they decide to searchers,
+// and writes answers.
+#pragma once
+
+#include <skylarkseam/gateway/gateway.hpp>
+#include <skylarkseam/shell/http_server.hpp>
+#include <skylarkseam/shell/metrics.hpp>
+#include <skylarkseam/shell/platform_binding.hpp>
+#include <skylarkseam/shell/upstream_pool.hpp>
+#include <skylarkseam/shell/wakeup_timer.hpp>
+
+#include <deque>
+#include <unordered_map>
+
+namespace skylarkseam {
+
+class gateway_front {
+public:
+    gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
+                  std::size_t answer_limit, gateway_options options, metrics& measured);
+
+    std::string listen(const std::string& address) { return server_.listen(address); }
+
+    /// From now on every answer ends its connection.
+    void drain() { draining_ = true; }
+    void stop_listening() { server_.stop_listening(); }
+    /// Answers what is still open, since the process ends now.
+    void refuse_open();
+
+    /// False where the table is not newer than the one in force.
+    bool set_table(std::shared_ptr<const routing_table> table);
+    /// Changes what is known of the searchers.
+    void update(const std::function<void(directory& searchers)>& change);
+
+    [[nodiscard]] gateway& decisions() { return gateway_; }
+    [[nodiscard]] const upstream_pool_counters& pool() const { return pool_.counters(); }
+    [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    [[nodiscard]] std::uint64_t rejected() const { return server_.rejected(); }
+    /// When the last request came in.
+    [[nodiscard]] time_point last_request() const { return last_request_; }
+
+private:
+    struct open_request {
+        incoming_request request;
+        respond answer;
+        time_point arrived{};
+    };
+
+    void take(incoming_request request, respond answer);
+    /// Queues an event and handles all that are queued; events that arise meanwhile wait their turn.
+    void deliver(gateway_input event);
+    void perform(std::vector<gateway_output> actions);
+    void send(gateway_action::send& action);
+    void answer(gateway_action::answer& action);
+    void log_answer(const gateway_action::answer& action, int status, duration retry_after);
+
+    event_loop& loop_;
+    const platform_binding& binding_;
+    metrics& measured_;
+    gateway gateway_;
+    upstream_pool pool_;
+    http_server server_;
+    wakeup_timer timer_;
+    std::unordered_map<request_token, open_request> open_;
+    std::deque<gateway_input> events_;
+    bool delivering_ = false;
+    bool draining_ = false;
+    time_point last_request_{};
+};
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -0,0 +1,228 @@
+#include <skylarkseam/shell/admin_service.hpp>
+#include <skylarkseam/shell/gateway_front.hpp>
+#include <skylarkseam/shell/gateway_node.hpp>
+#include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/store_runner.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace skylarkseam {
+namespace {
+
+constexpr duration drain_check_interval = milliseconds(50);
+constexpr duration balancer_notice = milliseconds(2600); ///< two looks a second apart, and one to spare
+constexpr duration quiet_before_end = milliseconds(300); ///< without a new request
+constexpr duration end_margin = milliseconds(400);       ///< before the process is killed
+constexpr std::uint32_t readiness_connections = 32;
+
+http_limits limits_of(const node_limits& limits) {
+    return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
+}
+
+gateway_options options_of(const node_settings& settings) {
+    const auto& gateway = *settings.gateway;
+    gateway_options options;
+    options.view = {settings.zone, settings.region, gateway.region_of_zone};
+    options.extra = {gateway.extra_ratio, gateway.extra_slack, gateway.extra_window};
+    options.seed = std::random_device{}();
+    return options;
+}
+
+class gateway_node {
+public:
+    gateway_node(const node_settings& settings, const platform_binding& binding)
+        : settings_(settings)
+        , binding_(binding)
+        , front_(loop_, binding_, limits_of(settings.limits), settings.limits.upstream_body_bytes,
+                 options_of(settings), metrics_)
+        , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
+                     [this](const incoming_request&, const respond& answer) { answer_readiness(answer); })
+        , admin_(
+              loop_, limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
+              [this] { return unfit(); })
+        , store_(loop_, binding_, settings.platform_url, std::random_device{}(),
+                 [this](std::vector<store_output> events) { take(std::move(events)); }) {
+        front_.decisions().set_hosts(settings.gateway->least_hosts);
+    }
+
+    int run() {
+        loop_.on_operator_signals([] { log_event(log_level::info, "reload", {}); },
+                                  [this] {
+                                      log_event(log_level::info, "state", {{"dump", admin_.state_json()}});
+                                  });
+        loop_.on_termination([this] { on_signal(); });
+        const auto callers = front_.listen(settings_.listen.callers);
+        const auto ready = readiness_.listen(settings_.gateway->readiness);
+        const auto admin = admin_.listen(settings_.listen.admin);
+        log_event(log_level::info, "start",
+                  {{"callers", callers}, {"readiness", ready}, {"admin", admin}, {"zone", settings_.zone}});
+        store_.start();
+        loop_.run();
+        log_event(log_level::info, "stop", {{"open_requests", front_.open_requests()}});
+        return exit_code_;
+    }
+
+private:
+    /// Why the balancer should send nothing here.
+    [[nodiscard]] std::optional<error> unfit() {
+        if (draining_) {
+            return make_error(error_kind::draining, "the node is shutting down");
+        }
+        if (front_.decisions().table()->version == 0) {
+            return make_error(error_kind::starting, "no configuration is known yet");
+        }
+        if (front_.decisions().searchers().size() == 0) {
+            return make_error(error_kind::starting, "no searchers are known yet");
+        }
+        return std::nullopt;
+    }
+
+    void answer_readiness(const respond& answer) {
+        const auto fault = unfit();
+        outgoing_response response;
+        response.status = fault ? 503 : 200;
+        response.body = fault ? R"({"ready":false})" : R"({"ready":true})";
+        answer(std::move(response));
+    }
+
+    void take(std::vector<store_output> events) {
+        for (auto& it : events) {
+            std::visit([this](auto& event) { take_one(event); }, it);
+        }
+    }
+
+    void take_one(store_event::entry_changed& event) {
+        if (const auto* const fault = std::get_if<unreadable_entry>(&event.entry.value);
+            fault != nullptr && !event.entry.deleted) {
+            log_event(log_level::warning, "entry_skipped",
+                      {{"kind", name_of(event.kind)}, {"name", event.entry.name}, {"fault", fault->fault}});
+        }
+        switch (event.kind) {
+        case store_kind::routing:
+            if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&event.entry.value)) {
+                take_table(std::move(*table), event.entry.revision);
+            }
+            break;
+        case store_kind::searchers:
+            front_.update([&](directory& searchers) {
+                const auto* const record = std::get_if<searcher_record>(&event.entry.value);
+                if (record != nullptr && !event.entry.deleted) {
+                    searchers.put(*record, loop_.now());
+                } else {
+                    searchers.remove(event.entry.name, event.store_was_away, loop_.now());
+                }
+            });
+            break;
+        case store_kind::evacuations:
+            if (event.entry.deleted) {
+                evacuated_.erase(event.entry.name);
+            } else {
+                evacuated_.insert(event.entry.name);
+            }
+            front_.update([&](directory& searchers) { searchers.set_evacuated(evacuated_); });
+            break;
+        }
+    }
+
+    void take_one(store_event::listed& event) {
+        if (event.kind == store_kind::searchers) {
+            front_.update([&](directory& searchers) {
+                searchers.retain(event.names, event.store_was_away, loop_.now());
+            });
+        } else if (event.kind == store_kind::evacuations) {
+            evacuated_ = event.names;
+            front_.update([&](directory& searchers) { searchers.set_evacuated(evacuated_); });
+        }
+        log_event(log_level::info, "listed",
+                  {{"kind", name_of(event.kind)}, {"entries", event.names.size()}});
+    }
+
+    void take_one(store_event::store_lost& event) {
+        log_event(log_level::warning, "store_lost", {{"kind", name_of(event.kind)}, {"fault", event.detail}});
+    }
+
+    void take_one(store_event::store_regained& event) {
+        log_event(
+            log_level::info, "store_regained",
+            {{"kind", name_of(event.kind)}, {"away_ms", static_cast<std::uint64_t>(to_ms(event.away))}});
+    }
+
+    void take_table(std::shared_ptr<const routing_table> table, std::uint64_t revision) {
+        const auto version = table->version;
+        const auto routes = table->routes.size();
+        const bool newer = front_.set_table(std::move(table));
+        log_event(log_level::info, newer ? "configuration" : "configuration_ignored",
+                  {{"version", version}, {"revision", revision}, {"routes", routes}});
+    }
+
+    void refresh_gauges() {
+        const auto& counters = front_.decisions().counters();
+        metrics_.gauge("requests", {}, static_cast<double>(counters.requests));
+        metrics_.gauge("answers_whole", {}, static_cast<double>(counters.whole));
+        metrics_.gauge("answers_partial", {}, static_cast<double>(counters.partial));
+        metrics_.gauge("answers_refused", {}, static_cast<double>(counters.refused));
+        metrics_.gauge("attempts", {}, static_cast<double>(counters.attempts));
+        metrics_.gauge("extra_attempts", {}, static_cast<double>(counters.extra_attempts));
+        metrics_.gauge("extra_denied", {}, static_cast<double>(counters.extra_denied));
+        metrics_.gauge("upstream_connections", {}, static_cast<double>(front_.pool().connections));
+        metrics_.gauge("upstream_connections_opened", {},
+                       static_cast<double>(front_.pool().connections_opened));
+        metrics_.gauge("store_calls", {}, static_cast<double>(store_.calls()));
+        metrics_.gauge("open_requests", {}, static_cast<double>(front_.open_requests()));
+        metrics_.gauge("configuration_version", {}, static_cast<double>(front_.decisions().table()->version));
+        metrics_.gauge("searchers", {}, static_cast<double>(front_.decisions().searchers().size()));
+    }
+
+    void on_signal() {
+        if (draining_) {
+            log_event(log_level::warning, "shutdown_forced", {{"open_requests", front_.open_requests()}});
+            exit_code_ = 1;
+            loop_.stop();
+            return;
+        }
+        draining_ = true;
+        front_.drain();
+        drain_began_ = loop_.now();
+        log_event(log_level::info, "draining", {{"open_requests", front_.open_requests()}});
+        check_drained();
+    }
+
+    void check_drained() {
+        const auto now = loop_.now();
+        const auto since = now - drain_began_;
+        if (since >= settings_.gateway->stop_grace - end_margin) {
+            front_.refuse_open();
+            loop_.post([this] { loop_.stop(); });
+            return;
+        }
+        const bool quiet = front_.open_requests() == 0 && now - front_.last_request() >= quiet_before_end;
+        if (since >= balancer_notice && quiet) {
+            loop_.stop();
+            return;
+        }
+        loop_.run_after(drain_check_interval, [this] { check_drained(); });
+    }
+
+    node_settings settings_;
+    platform_binding binding_;
+    event_loop loop_;
+    metrics metrics_;
+    gateway_front front_;
+    http_server readiness_;
+    admin_service admin_;
+    store_runner store_;
+    std::set<std::string> evacuated_;
+    bool draining_ = false;
+    time_point drain_began_{};
+    int exit_code_ = 0;
+};
+
+} // namespace
+
+int run_gateway(const node_settings& settings, const platform_binding& binding) {
+    start_logging(settings.level, settings.name);
+    return gateway_node(settings, binding).run();
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/http_client.cpp
+++ b/src/skylarkseam/shell/http_client.cpp
@@ -1,4 +1,5 @@
 #include <skylarkseam/shell/http_client.hpp>
+#include <skylarkseam/shell/socket_address.hpp>
 
 #include <curl/curl.h>
 
@@ -12,6 +13,9 @@
 
 constexpr long default_connections_per_host = 128;
 constexpr long max_cached_connections = 16384;
+constexpr int unacknowledged_timeout_ms = 2000; ///< less than the calls' own time-outs
+constexpr int keep_alive_idle_s = 2;
+constexpr int keep_alive_probes = 2;
 
 std::string lower_case(std::string text) {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -63,6 +67,12 @@
     return size * count;
 }
 
+/// A host without power or a connection that has gone silent must not hold a call until its time-out.
+int limit_socket_silence(void*, curl_socket_t fd, curlsocktype) {
+    limit_silence(fd, unacknowledged_timeout_ms, keep_alive_idle_s, keep_alive_probes);
+    return CURL_SOCKOPT_OK;
+}
+
 bool is_reset(CURLcode code) {
     return code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_GOT_NOTHING ||
            code == CURLE_PARTIAL_FILE || code == CURLE_COULDNT_CONNECT;
@@ -229,6 +239,7 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &limit_socket_silence);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(to_ms(request.timeout))));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &write_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -5,14 +5,20 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <optional>
 #include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <unordered_set>
 
 namespace skylarkseam {
 namespace {
 
 constexpr unsigned idle_timeout_s = 60;
+constexpr duration gone_check_interval =
+    milliseconds(100);                  ///< an upstream stops within 0.5 s of a client's leaving
+constexpr int client_gone_status = 502; ///< reaches nobody
 
 /// The state of one request, from its first header to the end of its answer.
 struct exchange {
@@ -23,6 +29,8 @@
     bool handed_over = false;
     bool suspended = false;
     bool alive = true; ///< false once the client or the server has gone
+    std::uint64_t id = 0;
+    bool reported_gone = false;
 };
 
 std::string decoded(std::string text) {
@@ -86,6 +94,9 @@
     event_loop& loop;
     http_limits limits;
     handler on_request;
+    gone_handler on_gone;
+    std::uint64_t last_id = 0;
+    timer_id gone_timer = -1;
     MHD_Daemon* daemon = nullptr;
     int epoll_fd = -1;
     timer_id timer = -1;
@@ -93,10 +104,11 @@
     std::uint64_t rejected = 0;
     std::unordered_set<std::shared_ptr<exchange>> exchanges;
 
-    impl(event_loop& event_loop, http_limits http_limits, handler request_handler)
+    impl(event_loop& event_loop, http_limits http_limits, handler request_handler, gone_handler on_leave)
         : loop(event_loop)
         , limits(http_limits)
-        , on_request(std::move(request_handler)) {}
+        , on_request(std::move(request_handler))
+        , on_gone(std::move(on_leave)) {}
 
     ~impl() {
         for (const auto& it : exchanges) {
@@ -109,8 +121,10 @@
             loop.unwatch(epoll_fd);
             MHD_stop_daemon(daemon);
         }
-        if (timer >= 0) {
-            loop.cancel(timer);
+        for (const auto id : {timer, gone_timer}) {
+            if (id >= 0) {
+                loop.cancel(id);
+            }
         }
     }
 
@@ -122,6 +136,7 @@
         (*holder)->connection = connection;
         const std::string whole = uri;
         (*holder)->request.path = whole.substr(0, whole.find('?'));
+        (*holder)->request.target = whole;
         return holder;
     }
 
@@ -157,6 +172,8 @@
     }
 
     void begin(const std::shared_ptr<exchange>& it, const char* method) {
+        it->id = ++last_id;
+        it->request.id = it->id;
         it->request.method = method;
         MHD_get_connection_values(it->connection, MHD_HEADER_KIND, &collect_header, &it->request.headers);
         MHD_get_connection_values(it->connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
@@ -198,9 +215,48 @@
         }
         it->suspended = true;
         MHD_suspend_connection(connection);
+        watch_for_gone();
         return MHD_YES;
     }
 
+    /// The library does not look at a suspended connection, so that a client's leaving is looked for here.
+    void watch_for_gone() {
+        if (!on_gone || gone_timer >= 0) {
+            return;
+        }
+        gone_timer = loop.run_after(gone_check_interval, [this] {
+            gone_timer = -1;
+            find_gone();
+        });
+    }
+
+    void find_gone() {
+        std::vector<std::shared_ptr<exchange>> gone;
+        bool waiting = false;
+        for (const auto& it : exchanges) {
+            if (!it->suspended || it->reported_gone) {
+                continue;
+            }
+            waiting = true;
+            const auto* const info =
+                MHD_get_connection_info(it->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+            char byte = 0;
+            const auto n = ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
+                gone.push_back(it);
+            }
+        }
+        for (const auto& it : gone) {
+            it->reported_gone = true;
+            on_gone(it->id);
+            // Resumed so that the library finds the connection closed and frees it.
+            answer(it, refusal(client_gone_status, "client_gone", "the client closed its connection"));
+        }
+        if (waiting) {
+            watch_for_gone();
+        }
+    }
+
     void answer(const std::shared_ptr<exchange>& it, outgoing_response response) {
         if (!it->alive || it->response) {
             return;
@@ -217,7 +273,12 @@
         auto& response = *it->response;
         auto* const body = MHD_create_response_from_buffer(response.body.size(), response.body.data(),
                                                            MHD_RESPMEM_MUST_COPY);
-        MHD_add_response_header(body, "Content-Type", response.content_type.c_str());
+        if (!response.content_type.empty()) {
+            MHD_add_response_header(body, "Content-Type", response.content_type.c_str());
+        }
+        if (response.close) {
+            MHD_add_response_header(body, "Connection", "close");
+        }
         for (const auto& header : response.headers) {
             MHD_add_response_header(body, header.name.c_str(), header.value.c_str());
         }
@@ -254,8 +315,8 @@
     }
 };
 
-http_server::http_server(event_loop& loop, http_limits limits, handler on_request)
-    : impl_(std::make_unique<impl>(loop, limits, std::move(on_request))) {}
+http_server::http_server(event_loop& loop, http_limits limits, handler on_request, gone_handler on_gone)
+    : impl_(std::make_unique<impl>(loop, limits, std::move(on_request), std::move(on_gone))) {}
 
 http_server::~http_server() = default;
 
@@ -276,6 +337,17 @@
     return bound_address(fd);
 }
 
+void http_server::stop_listening() {
+    const int fd = impl_->daemon == nullptr ? -1 : MHD_quiesce_daemon(impl_->daemon);
+    if (fd >= 0) {
+        ::close(fd);
+    }
+}
+
+void http_server::set_body_limit(std::size_t bytes) {
+    impl_->limits.body_bytes = bytes;
+}
+
 std::uint64_t http_server::rejected() const {
     return impl_->rejected;
 }
--- a/src/skylarkseam/shell/http_server.hpp
+++ b/src/skylarkseam/shell/http_server.hpp
@@ -21,8 +21,10 @@
 };
 
 struct incoming_request {
+    std::uint64_t id = 0; ///< unique within the server
     std::string method;
-    std::string path; ///< without the query string, percent-encoded segments as they came
+    std::string target; ///< as the client wrote it, with the query string
+    std::string path;   ///< without the query string, percent-encoded segments as they came
     std::string body;
     std::vector<http_header> headers;   ///< names in lower case
     std::vector<http_header> arguments; ///< of the query string, decoded
@@ -36,8 +38,9 @@
 struct outgoing_response {
     int status = 200;
     std::string body;
-    std::string content_type = "application/json";
+    std::string content_type = "application/json"; ///< empty: the headers name it, or none is known
     std::vector<http_header> headers;
+    bool close = false; ///< the connection ends after this answer
 };
 
 /// Answers one request, at once or later; called exactly once. Safe to call after the client has gone.
@@ -47,7 +50,10 @@
 public:
     using handler = std::function<void(incoming_request request, respond answer)>;
 
-    http_server(event_loop& loop, http_limits limits, handler on_request);
+    /// Called for a request whose client has closed its connection before the answer.
+    using gone_handler = std::function<void(std::uint64_t request_id)>;
+
+    http_server(event_loop& loop, http_limits limits, handler on_request, gone_handler on_gone = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -55,6 +61,12 @@
     /// Listens on ip:port; port 0 takes a free one. Returns the address in use; throws std::runtime_error.
     std::string listen(const std::string& address);
 
+    /// Closes the listening socket; connections that are open go on.
+    void stop_listening();
+
+    /// Bytes of a request's body from now on.
+    void set_body_limit(std::size_t bytes);
+
     /// Requests that were refused for their size or form.
     [[nodiscard]] std::uint64_t rejected() const;
     [[nodiscard]] std::size_t open_requests() const;
--- /dev/null
+++ b/src/skylarkseam/shell/platform_binding.hpp
@@ -0,0 +1,22 @@
+// What an adapter to a platform supplies to a gateway: the protocol's names, and how the store is read.
+#pragma once
+
+#include <skylarkseam/gateway/http_dialect.hpp>
+#include <skylarkseam/gateway/store_follower.hpp>
+
+#include <functional>
+#include <string>
+
+namespace skylarkseam {
+
+struct platform_binding {
+    http_dialect dialect;
+    /// Path and query of a call to the store.
+    std::function<std::string(const store_call& call)> target_of;
+    /// Decodes the store's answer; status 0 stands for none.
+    std::function<store_answer(const store_call& call, int status, const std::string& body,
+                               const std::string& detail)>
+        read_answer;
+};
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -0,0 +1,186 @@
+#include <skylarkseam/shell/request_forwarding.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstdio>
+
+namespace skylarkseam {
+namespace {
+
+constexpr int status_misdirected = 421;
+constexpr std::array<std::string_view, 9> connection_headers{
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade",    "proxy-connection"};
+constexpr std::array<std::string_view, 2> framing_headers{"content-length", "expect"};
+
+std::string lower_case(std::string_view text) {
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+    return out;
+}
+
+template <std::size_t Size>
+bool is_one_of(const std::array<std::string_view, Size>& list, std::string_view name) {
+    return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+/// Whether a Connection header names `name`, so that it concerns that connection only.
+bool is_listed(const std::string& connection, std::string_view name) {
+    std::size_t begin = 0;
+    while (begin < connection.size()) {
+        const auto end = std::min(connection.find(',', begin), connection.size());
+        auto item = connection.substr(begin, end - begin);
+        std::erase_if(item, [](char c) { return c == ' ' || c == '\t'; });
+        if (lower_case(item) == name) {
+            return true;
+        }
+        begin = end + 1;
+    }
+    return false;
+}
+
+void append_header(std::string& out, std::string_view name, std::string_view value) {
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::optional<duration> parse_ms(const std::string& text) {
+    std::int64_t ms = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || ms < 0) {
+        return std::nullopt;
+    }
+    return milliseconds(ms);
+}
+
+/// Seconds with three decimals, as Retry-After takes them here.
+std::string to_seconds(duration value) {
+    std::array<char, 32> buf{};
+    const auto ms = to_ms(value);
+    std::snprintf(buf.data(), buf.size(), "%lld.%03lld", static_cast<long long>(ms / 1000),
+                  static_cast<long long>(ms % 1000));
+    return buf.data();
+}
+
+struct response_of {
+    const http_dialect& names;
+
+    outgoing_response operator()(gateway_answer::forwarded& it) const {
+        outgoing_response out;
+        out.status = it.response.status;
+        out.content_type.clear();
+        out.body = std::move(it.response.body);
+        for (auto& header : it.response.headers) {
+            out.headers.push_back({std::move(header.name), std::move(header.value)});
+        }
+        return out;
+    }
+
+    outgoing_response operator()(gateway_answer::merged& it) const {
+        outgoing_response out;
+        out.content_type = "application/octet-stream";
+        out.body = std::move(it.body);
+        std::string proofs;
+        for (const auto& proof : it.proofs) {
+            proofs += proofs.empty() ? proof : ", " + proof;
+        }
+        out.headers.push_back({names.part_proofs, std::move(proofs)});
+        out.headers.push_back({names.missing_parts, std::to_string(it.missing)});
+        return out;
+    }
+
+    outgoing_response operator()(gateway_answer::refused& it) const {
+        outgoing_response out;
+        out.status = it.status;
+        out.body = R"({"error":")" + std::string(name_of(it.reason)) + "\"}";
+        if (it.retry_after > duration::zero()) {
+            out.headers.push_back({"Retry-After", to_seconds(it.retry_after)});
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+gateway_request to_gateway_request(const incoming_request& request, const http_dialect& names) {
+    gateway_request out;
+    out.token = request.id;
+    out.id = request.header(names.request_id);
+    out.host = request.header("host");
+    out.path = request.path;
+    out.time_left = parse_ms(request.header(names.time_left));
+    return out;
+}
+
+upstream_request to_upstream_request(const incoming_request& request, const http_dialect& names,
+                                     const std::string& searcher, duration time_left) {
+    upstream_request out;
+    out.is_head = request.method == "HEAD";
+    out.echo_header = names.request_id;
+    const auto connection = request.header("connection");
+    bool had_body = !request.body.empty();
+    out.bytes.reserve(request.target.size() + request.body.size() + 512);
+    out.bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const auto& it : request.headers) {
+        if (it.name == names.request_id) {
+            out.echo_value = it.value;
+        }
+        had_body = had_body || it.name == "content-length" || it.name == "transfer-encoding";
+        const bool ours = it.name == names.time_left || it.name == names.expected_id;
+        if (ours || is_one_of(connection_headers, it.name) || is_one_of(framing_headers, it.name) ||
+            is_listed(connection, it.name)) {
+            continue;
+        }
+        append_header(out.bytes, it.name, it.value);
+    }
+    append_header(out.bytes, names.time_left, std::to_string(std::max<std::int64_t>(1, to_ms(time_left))));
+    append_header(out.bytes, names.expected_id, searcher);
+    if (had_body) {
+        append_header(out.bytes, "content-length", std::to_string(request.body.size()));
+    }
+    out.bytes.append("\r\n").append(request.body);
+    return out;
+}
+
+attempt_result to_attempt_result(upstream_result result, const http_dialect& names) {
+    attempt_result out;
+    out.connect_time = result.connect_time;
+    out.detail = std::move(result.detail);
+    if (!result.response) {
+        out.outcome = result.sent ? attempt_outcome::broken : attempt_outcome::not_sent;
+        return out;
+    }
+    auto& response = *result.response;
+    if (response.status == status_misdirected) {
+        out.outcome = attempt_outcome::replaced;
+        return out;
+    }
+    if (response.header(names.not_run) != nullptr) {
+        out.outcome = attempt_outcome::refused;
+        out.detail = "status " + std::to_string(response.status);
+        return out;
+    }
+    out.outcome = attempt_outcome::answered;
+    out.response.status = response.status;
+    const auto* const proof = response.header(names.proof);
+    out.response.proof = proof == nullptr ? std::string() : *proof;
+    out.response.encoded = response.header("Content-Encoding") != nullptr;
+    const auto* const listed = response.header("Connection");
+    const std::string connection = listed == nullptr ? std::string() : *listed;
+    for (auto& it : response.headers) {
+        const auto name = lower_case(it.name);
+        if (!is_one_of(connection_headers, name) && !is_one_of(framing_headers, name) &&
+            !is_listed(connection, name)) {
+            out.response.headers.push_back({std::move(it.name), std::move(it.value)});
+        }
+    }
+    out.response.body = std::move(response.body);
+    return out;
+}
+
+outgoing_response to_client_response(any_answer answer, const http_dialect& names) {
+    return std::visit(response_of{names}, answer);
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/socket_address.cpp
+++ b/src/skylarkseam/shell/socket_address.cpp
@@ -76,6 +76,16 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void limit_silence(int fd, int unacknowledged_ms, int idle_s, int probes) {
+    const int on = 1;
+    const int between_probes_s = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &between_probes_s, sizeof between_probes_s);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
+}
+
 std::string bound_address(int fd) {
     sockaddr_in raw{};
     socklen_t size = sizeof raw;
--- a/src/skylarkseam/shell/socket_address.hpp
+++ b/src/skylarkseam/shell/socket_address.hpp
@@ -15,6 +15,10 @@
 /// Sends small writes at once (TCP_NODELAY).
 void disable_send_delay(int fd);
 
+/// Bounds how long a connection may go silent without a reset: data that stays unacknowledged for
+/// `unacknowledged_ms`, or `probes` keep-alive probes a second apart after `idle_s` without traffic, end it.
+void limit_silence(int fd, int unacknowledged_ms, int idle_s, int probes);
+
 /// The local address of a socket.
 [[nodiscard]] std::string bound_address(int fd);
 
--- /dev/null
+++ b/src/skylarkseam/shell/store_runner.cpp
@@ -0,0 +1,41 @@
+#include <skylarkseam/shell/store_runner.hpp>
+
+namespace skylarkseam {
+
+store_runner::store_runner(event_loop& loop, const platform_binding& binding, std::string url,
+                           std::uint64_t seed, output_handler on_output)
+    : loop_(loop)
+    , binding_(binding)
+    , url_(std::move(url))
+    , on_output_(std::move(on_output))
+    , http_(loop)
+    , follower_({}, seed)
+    , timer_(loop, [this] { run(); }) {}
+
+void store_runner::run() {
+    std::vector<store_call> calls;
+    follower_.take_calls(loop_.now(), calls);
+    for (const auto& it : calls) {
+        send(it);
+    }
+    timer_.set(follower_.next_wakeup());
+}
+
+void store_runner::send(const store_call& call) {
+    ++calls_;
+    http_request request;
+    request.url = url_ + binding_.target_of(call);
+    request.timeout = call.timeout;
+    http_.send(std::move(request), [this, call](const http_response& response) {
+        std::vector<store_output> events;
+        follower_.take_answer(call.kind,
+                              binding_.read_answer(call, response.status, response.body, response.detail),
+                              loop_.now(), events);
+        if (!events.empty()) {
+            on_output_(std::move(events));
+        }
+        run();
+    });
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/upstream_connection.hpp
@@ -0,0 +1,80 @@
+// One connection to a searcher, HTTP/1.1 with one request at a time, parsed by Boost.Beast. libcurl does not
+// fit here: it sends a request again by itself when a kept connection turns out closed, and does not look at
+// a connection that is idle, so that stray bytes on it would be taken for the next answer.
+#pragma once
+
+#include <skylarkseam/shell/event_loop.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkseam {
+
+struct upstream_header {
+    std::string name; ///< as the searcher wrote it
+    std::string value;
+};
+
+/// A whole response.
+struct upstream_response {
+    int status = 0;
+    std::vector<upstream_header> headers;
+    std::string body;
+
+    /// The value of the first header of that name, whatever its case; nullptr where there is none.
+    [[nodiscard]] const std::string* header(std::string_view name) const;
+};
+
+struct upstream_request {
+    std::string bytes;       ///< of the whole request
+    bool is_head = false;    ///< its answer has no body whatever it states
+    std::string echo_header; ///< an answer that names another value there belongs to another request
+    std::string echo_value;
+};
+
+/// How a request on a connection ended.
+struct upstream_result {
+    std::optional<upstream_response> response; ///< absent: no whole response came
+    bool sent = false;                         ///< a byte of the request was handed to the connection
+    std::optional<duration> connect_time{};    ///< where the connection was opened for this request
+    std::string detail;                        ///< names the fault where there is no response
+};
+
+/// Invariants: a request is sent at most once; a connection that had bytes nobody asked for, an answer in
+/// doubt or a request that was not written whole is closed and not used again.
+class upstream_connection {
+public:
+    struct handlers {
+        std::function<void(upstream_result)> on_result; ///< of the request that was sent last
+        std::function<void()> on_closed;                ///< it cannot be used any more; called once
+    };
+
+    upstream_connection(event_loop& loop, const std::string& address, std::size_t body_limit,
+                        handlers callbacks);
+    ~upstream_connection();
+    upstream_connection(const upstream_connection&) = delete;
+    upstream_connection& operator=(const upstream_connection&) = delete;
+
+    /// Sends one request, once the connection is open; only while idle().
+    void send(upstream_request request);
+
+    [[nodiscard]] bool idle() const;
+    [[nodiscard]] bool open() const;
+    /// Whether it may still be used at `now`: the searcher closes idle connections after a stated time.
+    [[nodiscard]] bool usable(time_point now) const;
+
+    /// Closes it without calling back.
+    void close();
+
+    /// Ends the request with a fault, where the connection has not opened in time.
+    void fail_if_connecting(const std::string& detail);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/upstream_pool.hpp
@@ -0,0 +1,59 @@
+// The connections to all searchers. Requests go out on a kept connection where there is one, else on a new
+// one.
+#pragma once
+
+#include <skylarkseam/shell/upstream_connection.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkseam {
+
+using upstream_call_id = std::uint64_t;
+
+struct upstream_call {
+    upstream_call_id id = 0;
+    std::string address; ///< ip:port
+    upstream_request request;
+    duration connect_timeout{};
+};
+
+/// Counts since the start, and what is open now.
+struct upstream_pool_counters {
+    std::uint64_t calls = 0;
+    std::uint64_t connections_opened = 0;
+    std::uint64_t stray_closes = 0; ///< idle connections that the searcher closed or wrote to
+    std::size_t connections = 0;
+};
+
+class upstream_pool {
+public:
+    /// Called once for each call that is not cancelled.
+    using result_handler = std::function<void(upstream_call_id id, upstream_result result)>;
+
+    upstream_pool(event_loop& loop, std::size_t body_limit, result_handler on_result);
+    ~upstream_pool();
+    upstream_pool(const upstream_pool&) = delete;
+    upstream_pool& operator=(const upstream_pool&) = delete;
+
+    void send(upstream_call call);
+
+    /// Closes the connection of a call, whose result is not reported any more.
+    void cancel(upstream_call_id id);
+
+    /// Opens a connection in advance, where none is open to the address.
+    void prepare(const std::string& address);
+
+    /// Closes idle connections to the address; those in use are closed after their request.
+    void retire(const std::string& address);
+
+    [[nodiscard]] const upstream_pool_counters& counters() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace skylarkseam
--- a/src/skylarkseam/wire/settings_yaml.cpp
+++ b/src/skylarkseam/wire/settings_yaml.cpp
@@ -9,6 +9,8 @@
 constexpr integer_range time_range_ms{1, 3'600'000};
 constexpr integer_range byte_range{1024, std::int64_t{1} << 30U};
 constexpr integer_range count_range{1, 1'000'000};
+constexpr double most_extra_ratio = 1.0;
+constexpr double most_extra_slack = 100'000.0;
 
 constexpr name_table log_level_names{std::array{
     named_value<log_level>{log_level::trace, "trace"},
@@ -69,6 +71,30 @@
     });
 }
 
+void read_zones(map_reader& gateway, std::map<std::string, std::string>& out) {
+    gateway.items("zones", presence::required, [&](const document_node& node, const document_place& place) {
+        map_reader zone(node, place);
+        std::string name;
+        std::string region;
+        zone.name("name", name);
+        zone.name("region", region);
+        zone.finish();
+        if (!name.empty() && !out.emplace(name, region).second) {
+            place.fault(node, "zone \"" + name + "\" stands twice");
+        }
+    });
+}
+
+void read_gateway(map_reader& gateway, gateway_settings& out) {
+    gateway.address("readiness", out.readiness, presence::required, any_free_port);
+    read_zones(gateway, out.region_of_zone);
+    gateway.number("extra_ratio", out.extra_ratio, 0.0, most_extra_ratio);
+    gateway.number("extra_slack", out.extra_slack, 0.0, most_extra_slack);
+    gateway.time_ms("extra_window_ms", out.extra_window, time_range_ms);
+    gateway.time_ms("stop_grace_ms", out.stop_grace, time_range_ms);
+    gateway.integer("least_hosts", out.least_hosts, count_range);
+}
+
 void read_settings(map_reader& settings, node_settings& out) {
     settings.section("node", presence::required, [&](map_reader& it) { read_node(it, out); });
     settings.section("listen", presence::required, [&](map_reader& it) { read_listen(it, out.listen); });
@@ -84,6 +110,8 @@
     });
     settings.section("limits", presence::optional, [&](map_reader& it) { read_limits(it, out.limits); });
     settings.section("timing", presence::optional, [&](map_reader& it) { read_timing(it, out.timing); });
+    settings.section("gateway", presence::optional,
+                     [&](map_reader& it) { read_gateway(it, out.gateway.emplace()); });
     settings.finish();
 }
 
