Gateways follow each other instead of all watching the store

Change: one gateway a zone watches, the others follow it over the nodes' HTTP/2 streams, the watching ones follow each other in a ring; the highest revision of each object wins; a gateway that nobody keeps up to date watches by itself.

--- a/src/skylarkseam/cli/gateway_command.cpp
+++ b/src/skylarkseam/cli/gateway_command.cpp
@@ -44,7 +44,8 @@
         std::cerr << line.value("settings") << ": the section \"gateway\" is missing\n";
         return exit_code::refused;
     }
-    const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer};
+    const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer,
+                                   &platform::read_routing};
     return run_gateway(settings.value, binding) == 0 ? exit_code::done : exit_code::refused;
 }
 
--- /dev/null
+++ b/src/skylarkseam/gateway/knowledge.cpp
@@ -0,0 +1,135 @@
+#include <skylarkseam/gateway/knowledge.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::size_t most_removals = 512; ///< kept, so that readers learn of them one by one
+
+} // namespace
+
+bool knowledge::take(const registration& it) {
+    const auto found = registrations_.find(it.id);
+    const bool known = found != registrations_.end();
+    if (known && (found->second.value.revision >= it.revision)) {
+        return false;
+    }
+    if (!known && !it.record) {
+        return false;
+    }
+    const bool was_gone = known && !found->second.value.record;
+    gone_ += !it.record ? 1 : 0;
+    gone_ -= was_gone ? 1 : 0;
+    registrations_[it.id] = {it, ++sequence_};
+    forget_old_removals();
+    return true;
+}
+
+bool knowledge::take(const evacuation& it) {
+    const auto found = evacuations_.find(it.zone);
+    if (found != evacuations_.end() && found->second.value.revision >= it.revision) {
+        return false;
+    }
+    if (found == evacuations_.end() && !it.active) {
+        return false;
+    }
+    evacuations_[it.zone] = {it, ++sequence_};
+    return true;
+}
+
+bool knowledge::take(const routing_source& it) {
+    if (it.version <= routing_.version) {
+        return false;
+    }
+    routing_ = it;
+    ++sequence_;
+    return true;
+}
+
+std::vector<registration> knowledge::retain_searchers(const std::set<std::string>& listed,
+                                                      std::uint64_t revision, bool store_was_away) {
+    std::vector<registration> gone;
+    for (const auto& [id, it] : registrations_) {
+        if (it.value.record && it.value.revision < revision && !listed.contains(id)) {
+            gone.push_back({id, revision, std::nullopt, store_was_away});
+        }
+    }
+    std::erase_if(gone, [this](const auto& it) { return !take(it); });
+    advance(store_kind::searchers, revision);
+    return gone;
+}
+
+std::vector<evacuation> knowledge::retain_evacuations(const std::set<std::string>& listed,
+                                                      std::uint64_t revision) {
+    std::vector<evacuation> ended;
+    for (const auto& [zone, it] : evacuations_) {
+        if (it.value.active && it.value.revision < revision && !listed.contains(zone)) {
+            ended.push_back({zone, revision, false});
+        }
+    }
+    std::erase_if(ended, [this](const auto& it) { return !take(it); });
+    advance(store_kind::evacuations, revision);
+    return ended;
+}
+
+void knowledge::advance(store_kind kind, std::uint64_t revision) {
+    auto& it = revisions_[static_cast<std::size_t>(kind)];
+    it = std::max(it, revision);
+}
+
+void knowledge::confirm(time_point when) {
+    confirmed_ = confirmed_ ? std::max(*confirmed_, when) : when;
+}
+
+knowledge_update knowledge::update_since(const knowledge_position& from, time_point now) const {
+    knowledge_update update;
+    update.epoch = epoch_;
+    update.sequence = sequence_;
+    update.revisions = revisions_;
+    update.whole = from.epoch != epoch_ || from.sequence < oldest_sequence_;
+    update.age = confirmed_ ? std::max(duration::zero(), now - *confirmed_) : duration::max();
+    const auto first = update.whole ? 0 : from.sequence + 1;
+    for (const auto& [id, it] : registrations_) {
+        if (it.sequence >= first) {
+            update.registrations.push_back(it.value);
+        }
+    }
+    for (const auto& [zone, it] : evacuations_) {
+        if (it.sequence >= first) {
+            update.evacuations.push_back(it.value);
+        }
+    }
+    if (routing_.version > from.routing_version) {
+        update.routing = routing_;
+    }
+    return update;
+}
+
+std::set<std::string> knowledge::evacuated_zones() const {
+    std::set<std::string> zones;
+    for (const auto& [zone, it] : evacuations_) {
+        if (it.value.active) {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
+void knowledge::forget_old_removals() {
+    if (gone_ <= most_removals) {
+        return;
+    }
+    auto oldest = registrations_.end();
+    for (auto it = registrations_.begin(); it != registrations_.end(); ++it) {
+        const bool older = oldest == registrations_.end() || it->second.sequence < oldest->second.sequence;
+        if (!it->second.value.record && older) {
+            oldest = it;
+        }
+    }
+    oldest_sequence_ = oldest->second.sequence + 1;
+    registrations_.erase(oldest);
+    --gone_;
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -0,0 +1,193 @@
+#include <skylarkseam/gateway/peer_group.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace skylarkseam {
+
+peer_group::peer_group(gateway_identity self, std::vector<std::string> seeds, peer_timing timing,
+                       time_point now)
+    : self_(std::move(self))
+    , seeds_(std::move(seeds))
+    , timing_(timing)
+    , began_(now)
+    , greet_due_(now)
+    , follow_due_(now) {
+    std::erase(seeds_, self_.address);
+}
+
+void peer_group::note(const gateway_identity& who, time_point heard) {
+    if (who.name == self_.name || who.name.empty()) {
+        return;
+    }
+    auto& it = members_[who.name];
+    if (!(it.who == who)) {
+        it = {who, heard, {}};
+    }
+    it.heard = std::max(it.heard, heard);
+}
+
+void peer_group::merge(const group_view& view, time_point now) {
+    note(view.sender, now);
+    for (const auto& it : view.members) {
+        if (it.age < timing_.forget) {
+            note(it.who, now - it.age);
+        }
+    }
+    for (const auto& [zone, hosts] : view.hosts_of_zone) {
+        if (zone != self_.zone) {
+            zones_[zone] = {hosts, now};
+        }
+    }
+    if (view.leaving) {
+        members_.erase(view.sender.name);
+    }
+}
+
+void peer_group::forget_old(time_point now) {
+    std::erase_if(members_, [&](const auto& it) { return now - it.second.heard > timing_.forget; });
+    std::erase_if(zones_, [&](const auto& it) { return now - it.second.heard > 4 * timing_.forget; });
+}
+
+const peer_group::member* peer_group::first_of_zone(const std::string& zone, time_point now) const {
+    for (const auto& [name, it] : members_) {
+        if (it.who.zone == zone && now >= it.shunned_until) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+bool peer_group::leads(time_point now) const {
+    // Every gateway of a zone comes to the same result once they know of each other.
+    const auto* const first = first_of_zone(self_.zone, now);
+    return first == nullptr || self_.name < first->who.name;
+}
+
+const peer_group::member* peer_group::to_follow(time_point now) const {
+    if (!leads(now)) {
+        return first_of_zone(self_.zone, now);
+    }
+    std::set<std::string> zones{self_.zone};
+    for (const auto& [name, it] : members_) {
+        if (now >= it.shunned_until) {
+            zones.insert(it.who.zone);
+        }
+    }
+    // The next zone in the order of their names, round the ring.
+    auto next = std::next(zones.find(self_.zone));
+    next = next == zones.end() ? zones.begin() : next;
+    return first_of_zone(*next, now);
+}
+
+void peer_group::take_calls(time_point now, std::vector<peer_call>& out) {
+    forget_old(now);
+    const auto* const target = to_follow(now);
+    if (!follow_open_ && now >= follow_due_) {
+        follow_due_ = now + timing_.greet_pause;
+        if (target != nullptr) {
+            follow_open_ = true;
+            follow_address_ = target->who.address;
+            out.push_back({peer_call::kind::follow, follow_address_});
+        }
+    }
+    if (now < greet_due_) {
+        return;
+    }
+    const bool known = target != nullptr;
+    greet_due_ = now + (known ? timing_.greet_interval : timing_.greet_pause);
+    if (seeds_.empty() || (known && !leads(now))) {
+        return; // the one that is followed tells the others
+    }
+    if (known) {
+        out.push_back({peer_call::kind::greet, seeds_[next_seed_++ % seeds_.size()]});
+        return;
+    }
+    for (const auto& it : seeds_) {
+        out.push_back({peer_call::kind::greet, it});
+    }
+}
+
+void peer_group::take_answer(const peer_call& call, const std::optional<group_view>& view, duration age,
+                             time_point now) {
+    if (view) {
+        merge(*view, now);
+    }
+    if (call.what == peer_call::kind::greet) {
+        follow_due_ = std::min(follow_due_, now);
+        return;
+    }
+    follow_open_ = false;
+    follow_due_ = now;
+    const bool fresh = view && age < timing_.stale;
+    if (fresh) {
+        followed_at_ = now;
+        return;
+    }
+    for (auto& [name, it] : members_) {
+        if (it.who.address == call.address) {
+            it.shunned_until = now + timing_.shun;
+        }
+    }
+}
+
+void peer_group::take_call(const group_view& from, time_point now) {
+    merge(from, now);
+}
+
+bool peer_group::should_watch(std::optional<time_point> confirmed, time_point now) const {
+    if (leads(now)) {
+        return first_of_zone(self_.zone, now) != nullptr || followed_at_ || now >= began_ + timing_.alone ||
+               seeds_.empty();
+    }
+    return confirmed ? now - *confirmed > timing_.stale : now > began_ + 2 * timing_.alone;
+}
+
+group_view peer_group::view_for(const std::string& zone, time_point now) const {
+    group_view view;
+    view.sender = self_;
+    view.leaving = leaving_;
+    std::set<std::string> others;
+    for (const auto& [name, it] : members_) {
+        const bool told = it.who.zone == zone || others.insert(it.who.zone).second;
+        if (told && now - it.heard < timing_.forget) {
+            view.members.push_back({it.who, now - it.heard});
+        }
+    }
+    for (const auto& [other, it] : zones_) {
+        view.hosts_of_zone[other] = it.hosts;
+    }
+    std::uint32_t own = 1;
+    for (const auto& [name, it] : members_) {
+        own += it.who.zone == self_.zone ? 1 : 0;
+    }
+    view.hosts_of_zone[self_.zone] = own;
+    return view;
+}
+
+std::uint32_t peer_group::hosts(time_point now) const {
+    const auto view = view_for(self_.zone, now);
+    std::map<std::string, std::uint32_t> counted;
+    for (const auto& [name, it] : members_) {
+        ++counted[it.who.zone];
+    }
+    std::uint32_t total = 0;
+    for (const auto& [zone, hosts] : view.hosts_of_zone) {
+        total += std::max(hosts, counted[zone]);
+        counted.erase(zone);
+    }
+    for (const auto& [zone, hosts] : counted) {
+        total += hosts;
+    }
+    return total;
+}
+
+std::optional<time_point> peer_group::next_wakeup() const {
+    std::optional<time_point> next = greet_due_;
+    if (!follow_open_) {
+        next = std::min(*next, follow_due_);
+    }
+    return next;
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/gateway/store_follower.cpp
+++ b/src/skylarkseam/gateway/store_follower.cpp
@@ -24,7 +24,26 @@
     : timing_(timing)
     , random_(seed) {}
 
+void store_follower::set_active(bool active, const store_revisions& known, time_point now) {
+    if (active == active_) {
+        return;
+    }
+    active_ = active;
+    for (const auto kind : store_kinds) {
+        auto& it = line_of(kind);
+        const auto revision = known[static_cast<std::size_t>(kind)];
+        if (active && !it.open && revision >= it.revision && revision > 0) {
+            it.revision = revision;
+            it.listing_revision.reset();
+            it.due = now;
+        }
+    }
+}
+
 void store_follower::take_calls(time_point now, std::vector<store_call>& out) {
+    if (!active_) {
+        return;
+    }
     for (const auto kind : store_kinds) {
         auto& it = line_of(kind);
         if (it.open || now < it.due) {
@@ -74,8 +93,12 @@
     it.due = answer.page.entries.empty() ? now : now + timing_.gather;
     it.revision = std::max(it.revision, answer.page.revision);
     for (auto& entry : answer.page.entries) {
+        if (entry.deleted) {
+            ++entry.revision; // the object's own is that of its last change, which came before
+        }
         out.emplace_back(store_event::entry_changed{kind, std::move(entry), away});
     }
+    out.emplace_back(store_event::confirmed{kind, it.revision});
 }
 
 void store_follower::take_listing(store_kind kind, store_page page, bool away, time_point now,
@@ -99,7 +122,7 @@
     it.listing_revision.reset();
     it.after.clear();
     it.listed_once = true;
-    out.emplace_back(store_event::listed{kind, std::move(it.names), away});
+    out.emplace_back(store_event::listed{kind, std::move(it.names), it.revision, away});
     it.names.clear();
 }
 
@@ -115,12 +138,16 @@
     it.listing_revision.reset();
     it.after.clear();
     it.names.clear();
-    it.pause = std::clamp(it.pause * 2, timing_.first_pause, timing_.longest_pause);
+    it.pause = patient_ ? timing_.patient_pause
+                        : std::clamp(it.pause * 2, timing_.first_pause, timing_.longest_pause);
     it.due = now + jittered(it.pause);
 }
 
 std::optional<time_point> store_follower::next_wakeup() const {
     std::optional<time_point> next;
+    if (!active_) {
+        return next;
+    }
     for (const auto& it : lines_) {
         if (!it.open && (!next || it.due < *next)) {
             next = it.due;
--- a/src/skylarkseam/gateway/store_follower.hpp
+++ b/src/skylarkseam/gateway/store_follower.hpp
@@ -5,6 +5,7 @@
 
 #include <skylarkseam/gateway/routing.hpp>
 #include <skylarkseam/gateway/searcher.hpp>
+#include <skylarkseam/gateway/store_kind.hpp>
 
 #include <pcg_random.hpp>
 
@@ -17,12 +18,6 @@
 
 namespace skylarkseam {
 
-enum class store_kind { routing, searchers, evacuations };
-
-constexpr std::array store_kinds{store_kind::routing, store_kind::searchers, store_kind::evacuations};
-
-[[nodiscard]] std::string_view name_of(store_kind kind);
-
 /// A zone whose searchers are to get no work.
 struct zone_evacuation {
     std::string zone;
@@ -42,6 +37,7 @@
     std::uint64_t revision = 0;
     bool deleted = false;
     store_value value;
+    std::string text; ///< of a routing table: the object itself, for other gateways
 };
 
 struct store_page {
@@ -83,8 +79,14 @@
 struct listed {
     store_kind kind = store_kind::routing;
     std::set<std::string> names;
+    std::uint64_t revision = 0; ///< of the store when the listing began
     bool store_was_away = false;
 };
+/// Everything of the kind up to a revision is known.
+struct confirmed {
+    store_kind kind = store_kind::routing;
+    std::uint64_t revision = 0;
+};
 struct store_lost {
     store_kind kind = store_kind::routing;
     std::string detail;
@@ -95,16 +97,17 @@
 };
 } // namespace store_event
 
-using store_output = std::variant<store_event::entry_changed, store_event::listed, store_event::store_lost,
-                                  store_event::store_regained>;
+using store_output = std::variant<store_event::entry_changed, store_event::listed, store_event::confirmed,
+                                  store_event::store_lost, store_event::store_regained>;
 
 struct store_timing {
-    duration watch_wait = milliseconds(2500); ///< short, since a connection may go silent for good
+    duration watch_wait = milliseconds(2000); ///< short, since a connection may go silent for good
     duration call_timeout = milliseconds(1200);
     duration gather =
         milliseconds(150); ///< between a watch's answer and the next watch: changes come in series
     duration first_pause = milliseconds(100);
     duration longest_pause = milliseconds(1500);
+    duration patient_pause = milliseconds(4000);
     /// For so long after a failed call entries may be missing that lapsed while the store was away.
     duration unsettled = seconds(4);
 };
@@ -114,6 +117,13 @@
 public:
     store_follower(store_timing timing, std::uint64_t seed);
 
+    /// While it is not active no new calls are made. \param known  what is known meanwhile from elsewhere, so
+    /// that a watch can go on from there
+    void set_active(bool active, const store_revisions& known, time_point now);
+    [[nodiscard]] bool active() const { return active_; }
+    /// A gateway that relies on others for its knowledge asks a failing store less often.
+    void set_patient(bool patient) { patient_ = patient; }
+
     /// The calls that are due now.
     void take_calls(time_point now, std::vector<store_call>& out);
     void take_answer(store_kind kind, store_answer answer, time_point now, std::vector<store_output>& out);
@@ -153,6 +163,8 @@
     pcg32 random_;
     std::array<line, store_kinds.size()> lines_;
     std::optional<time_point> last_failure_;
+    bool active_ = true;
+    bool patient_ = false;
 };
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -1,8 +1,8 @@
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/gateway_front.hpp>
 #include <skylarkseam/shell/gateway_node.hpp>
+#include <skylarkseam/shell/knowledge_runner.hpp>
 #include <skylarkseam/shell/logging.hpp>
-#include <skylarkseam/shell/store_runner.hpp>
 
 #include <algorithm>
 #include <random>
@@ -20,6 +20,10 @@
     return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
 }
 
+peer_limits peer_limits_of(const node_limits& limits) {
+    return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
+}
+
 gateway_options options_of(const node_settings& settings) {
     const auto& gateway = *settings.gateway;
     gateway_options options;
@@ -41,8 +45,8 @@
         , admin_(
               loop_, limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
-        , store_(loop_, binding_, settings.platform_url, std::random_device{}(),
-                 [this](std::vector<store_output> events) { take(std::move(events)); }) {
+        , knowledge_(loop_, binding_, settings.platform_url, peer_limits_of(settings.limits),
+                     std::random_device{}(), handlers()) {
         front_.decisions().set_hosts(settings.gateway->least_hosts);
     }
 
@@ -57,7 +61,8 @@
         const auto admin = admin_.listen(settings_.listen.admin);
         log_event(log_level::info, "start",
                   {{"callers", callers}, {"readiness", ready}, {"admin", admin}, {"zone", settings_.zone}});
-        store_.start();
+        admin_.add_section("knowledge", [this] { return knowledge_.state_json(); });
+        knowledge_.start(settings_.name, settings_.zone, settings_.listen.peers, peer_seeds());
         loop_.run();
         log_event(log_level::info, "stop", {{"open_requests", front_.open_requests()}});
         return exit_code_;
@@ -86,74 +91,48 @@
         answer(std::move(response));
     }
 
-    void take(std::vector<store_output> events) {
-        for (auto& it : events) {
-            std::visit([this](auto& event) { take_one(event); }, it);
-        }
+    knowledge_handlers handlers() {
+        knowledge_handlers out;
+        out.on_searchers = [this](const auto& changes) { take_searchers(changes); };
+        out.on_evacuations = [this](const auto& zones) {
+            front_.update([&](directory& searchers) { searchers.set_evacuated(zones); });
+        };
+        out.on_routing = [this](auto table) { take_table(std::move(table)); };
+        out.on_hosts = [this](std::uint32_t hosts) {
+            front_.decisions().set_hosts(std::max(hosts, settings_.gateway->least_hosts));
+            log_event(log_level::info, "hosts", {{"hosts", hosts}});
+        };
+        return out;
     }
 
-    void take_one(store_event::entry_changed& event) {
-        if (const auto* const fault = std::get_if<unreadable_entry>(&event.entry.value);
-            fault != nullptr && !event.entry.deleted) {
-            log_event(log_level::warning, "entry_skipped",
-                      {{"kind", name_of(event.kind)}, {"name", event.entry.name}, {"fault", fault->fault}});
-        }
-        switch (event.kind) {
-        case store_kind::routing:
-            if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&event.entry.value)) {
-                take_table(std::move(*table), event.entry.revision);
-            }
-            break;
-        case store_kind::searchers:
-            front_.update([&](directory& searchers) {
-                const auto* const record = std::get_if<searcher_record>(&event.entry.value);
-                if (record != nullptr && !event.entry.deleted) {
-                    searchers.put(*record, loop_.now());
+    void take_searchers(const std::vector<registration>& changes) {
+        front_.update([&](directory& searchers) {
+            for (const auto& it : changes) {
+                if (it.record) {
+                    searchers.put(*it.record, loop_.now());
                 } else {
-                    searchers.remove(event.entry.name, event.store_was_away, loop_.now());
+                    searchers.remove(it.id, it.store_was_away, loop_.now());
                 }
-            });
-            break;
-        case store_kind::evacuations:
-            if (event.entry.deleted) {
-                evacuated_.erase(event.entry.name);
-            } else {
-                evacuated_.insert(event.entry.name);
             }
-            front_.update([&](directory& searchers) { searchers.set_evacuated(evacuated_); });
-            break;
-        }
-    }
-
-    void take_one(store_event::listed& event) {
-        if (event.kind == store_kind::searchers) {
-            front_.update([&](directory& searchers) {
-                searchers.retain(event.names, event.store_was_away, loop_.now());
-            });
-        } else if (event.kind == store_kind::evacuations) {
-            evacuated_ = event.names;
-            front_.update([&](directory& searchers) { searchers.set_evacuated(evacuated_); });
-        }
-        log_event(log_level::info, "listed",
-                  {{"kind", name_of(event.kind)}, {"entries", event.names.size()}});
-    }
-
-    void take_one(store_event::store_lost& event) {
-        log_event(log_level::warning, "store_lost", {{"kind", name_of(event.kind)}, {"fault", event.detail}});
-    }
-
-    void take_one(store_event::store_regained& event) {
-        log_event(
-            log_level::info, "store_regained",
-            {{"kind", name_of(event.kind)}, {"away_ms", static_cast<std::uint64_t>(to_ms(event.away))}});
+        });
     }
 
-    void take_table(std::shared_ptr<const routing_table> table, std::uint64_t revision) {
+    void take_table(std::shared_ptr<const routing_table> table) {
         const auto version = table->version;
         const auto routes = table->routes.size();
         const bool newer = front_.set_table(std::move(table));
         log_event(log_level::info, newer ? "configuration" : "configuration_ignored",
-                  {{"version", version}, {"revision", revision}, {"routes", routes}});
+                  {{"version", version}, {"routes", routes}});
+    }
+
+    /// The seeds are the operators' addresses of other hosts; all hosts use the same ports.
+    [[nodiscard]] std::vector<std::string> peer_seeds() const {
+        const auto port = settings_.listen.peers.substr(settings_.listen.peers.rfind(':'));
+        std::vector<std::string> out;
+        for (const auto& it : settings_.seeds) {
+            out.push_back(it.substr(0, it.rfind(':')) + port);
+        }
+        return out;
     }
 
     void refresh_gauges() {
@@ -168,7 +147,7 @@
         metrics_.gauge("upstream_connections", {}, static_cast<double>(front_.pool().connections));
         metrics_.gauge("upstream_connections_opened", {},
                        static_cast<double>(front_.pool().connections_opened));
-        metrics_.gauge("store_calls", {}, static_cast<double>(store_.calls()));
+        metrics_.gauge("store_calls", {}, static_cast<double>(knowledge_.store_calls()));
         metrics_.gauge("open_requests", {}, static_cast<double>(front_.open_requests()));
         metrics_.gauge("configuration_version", {}, static_cast<double>(front_.decisions().table()->version));
         metrics_.gauge("searchers", {}, static_cast<double>(front_.decisions().searchers().size()));
@@ -183,6 +162,7 @@
         }
         draining_ = true;
         front_.drain();
+        knowledge_.leave();
         drain_began_ = loop_.now();
         log_event(log_level::info, "draining", {{"open_requests", front_.open_requests()}});
         check_drained();
@@ -211,8 +191,7 @@
     gateway_front front_;
     http_server readiness_;
     admin_service admin_;
-    store_runner store_;
-    std::set<std::string> evacuated_;
+    knowledge_runner knowledge_;
     bool draining_ = false;
     time_point drain_began_{};
     int exit_code_ = 0;
--- /dev/null
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -0,0 +1,278 @@
+#include <skylarkseam/shell/knowledge_runner.hpp>
+#include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/wire/gateway_codec.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+constexpr const char* greet_topic = "gateway-greet";
+constexpr const char* follow_topic = "gateway-follow";
+constexpr duration longest_hold = seconds(5); ///< of a follower's answer, whatever it asks for
+constexpr peer_timing timing;
+
+} // namespace
+
+knowledge_runner::knowledge_runner(event_loop& loop, const platform_binding& binding,
+                                   const std::string& store_url, peer_limits limits, std::uint64_t epoch,
+                                   knowledge_handlers handlers)
+    : loop_(loop)
+    , binding_(binding)
+    , limits_(limits)
+    , handlers_(std::move(handlers))
+    , client_(loop, limits)
+    , server_(loop, limits)
+    , store_(loop, binding, store_url, epoch,
+             [this](std::vector<store_output> events) { take_store(std::move(events)); })
+    , known_(epoch)
+    , timer_(loop, [this] { tick(); }) {}
+
+void knowledge_runner::start(const std::string& name, const std::string& zone, const std::string& address,
+                             std::vector<std::string> seeds) {
+    serve();
+    const auto bound = server_.listen(address);
+    group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing,
+                                          loop_.now());
+    log_event(log_level::info, "peers_listening", {{"address", bound}});
+    tick();
+}
+
+void knowledge_runner::leave() {
+    group_->set_leaving();
+    for (auto& it : held_) {
+        answer(it);
+    }
+    held_.clear();
+}
+
+void knowledge_runner::serve() {
+    server_.serve(greet_topic, [this](const std::string& body, const std::shared_ptr<peer_responder>& to) {
+        const auto view = decode_group_view(body);
+        if (view) {
+            group_->take_call(view.value(), loop_.now());
+            to->send(encode(group_->view_for(view.value().sender.zone, loop_.now())));
+        }
+        to->finish();
+    });
+    server_.serve(follow_topic, [this](const std::string& body, const std::shared_ptr<peer_responder>& to) {
+        const auto request = decode_follow_request(body);
+        if (!request) {
+            log_event(log_level::warning, "peer_message_refused", {{"fault", request.error().detail}});
+            to->finish();
+            return;
+        }
+        const auto& it = request.value();
+        group_->take_call(it.view, loop_.now());
+        held_.push_back(
+            {it.position, it.view.sender.zone, loop_.now() + std::min(it.wait, longest_hold), to});
+        answer_followers();
+        timer_.set(loop_.now() + it.wait);
+    });
+}
+
+void knowledge_runner::tick() {
+    const auto now = loop_.now();
+    std::vector<peer_call> calls;
+    group_->take_calls(now, calls);
+    for (const auto& it : calls) {
+        call(it);
+    }
+    const bool watch = group_->should_watch(known_.confirmed(), now);
+    store_.set_active(watch, !group_->leads(now), known_.revisions());
+    if (watch != watching_) {
+        watching_ = watch;
+        log_event(log_level::info, watch ? "watching_store" : "following",
+                  {{"peer", group_->followed()}, {"routing_version", known_.routing().version}});
+    }
+    const auto hosts = group_->hosts(now);
+    if (hosts != hosts_) {
+        hosts_ = hosts;
+        handlers_.on_hosts(hosts);
+    }
+    answer_followers();
+    auto next = group_->next_wakeup();
+    for (const auto& it : held_) {
+        next = next ? std::min(*next, it.until) : it.until;
+    }
+    timer_.set(next);
+}
+
+void knowledge_runner::call(const peer_call& it) {
+    const auto view = group_->view_for({}, loop_.now());
+    if (it.what == peer_call::kind::greet) {
+        client_.call(it.address, greet_topic, encode(view), timing.call_timeout,
+                     [this, it](const stream_end&, const std::string& frame) {
+                         const auto reply = decode_group_view(frame);
+                         const auto seen = reply ? std::optional(reply.value()) : std::nullopt;
+                         group_->take_answer(it, seen, {}, loop_.now());
+                         tick();
+                     });
+        return;
+    }
+    const follow_request request{view, positions_[it.address], timing.follow_wait};
+    client_.call(
+        it.address, follow_topic, encode(request), timing.follow_wait + timing.call_timeout,
+        [this, it](const stream_end& end, const std::string& frame) {
+            const auto reply = decode_follow_reply(frame);
+            if (reply) {
+                take_update(reply.value().update, it.address);
+                group_->take_answer(it, reply.value().view, reply.value().update.age, loop_.now());
+            } else {
+                log_event(log_level::info, "peer_lost", {{"peer", it.address}, {"fault", end.detail}});
+                group_->take_answer(it, std::nullopt, {}, loop_.now());
+            }
+            tick();
+        });
+}
+
+void knowledge_runner::take_update(const knowledge_update& update, const std::string& address) {
+    std::vector<registration> changes;
+    std::set<std::string> named;
+    for (const auto& it : update.registrations) {
+        named.insert(it.id);
+        if (known_.take(it)) {
+            changes.push_back(it);
+        }
+    }
+    const auto revision = update.revisions[static_cast<std::size_t>(store_kind::searchers)];
+    if (update.whole && revision > 0) {
+        const auto gone = known_.retain_searchers(named, revision, false);
+        changes.insert(changes.end(), gone.begin(), gone.end());
+    }
+    apply(changes);
+    std::vector<evacuation> zones;
+    for (const auto& it : update.evacuations) {
+        if (known_.take(it)) {
+            zones.push_back(it);
+        }
+    }
+    apply(zones);
+    if (update.routing && update.routing->version > known_.routing().version) {
+        auto value = binding_.read_routing(update.routing->text);
+        if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&value)) {
+            apply(*update.routing, std::move(*table));
+        }
+    }
+    for (const auto kind : store_kinds) {
+        known_.advance(kind, update.revisions[static_cast<std::size_t>(kind)]);
+    }
+    if (update.age < timing.stale) {
+        known_.confirm(loop_.now() - update.age);
+    }
+    positions_[address] = {update.epoch, update.sequence, known_.routing().version};
+}
+
+void knowledge_runner::take_store(std::vector<store_output> events) {
+    for (auto& it : events) {
+        std::visit([this](auto& event) { take_one(event); }, it);
+    }
+    answer_followers();
+}
+
+void knowledge_runner::take_one(store_event::entry_changed& event) {
+    auto& entry = event.entry;
+    const auto* const fault = std::get_if<unreadable_entry>(&entry.value);
+    if (fault != nullptr && !entry.deleted) {
+        log_event(log_level::warning, "entry_skipped",
+                  {{"kind", name_of(event.kind)}, {"name", entry.name}, {"fault", fault->fault}});
+    }
+    switch (event.kind) {
+    case store_kind::routing:
+        if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&entry.value)) {
+            const routing_source source{(*table)->version, std::move(entry.text)};
+            apply(source, std::move(*table));
+        }
+        break;
+    case store_kind::searchers: {
+        registration change{entry.name, entry.revision, std::nullopt, event.store_was_away};
+        const auto* const record = std::get_if<searcher_record>(&entry.value);
+        if (record != nullptr && !entry.deleted) {
+            change.record = *record;
+        }
+        if (known_.take(change)) {
+            apply(std::vector{change});
+        }
+        break;
+    }
+    case store_kind::evacuations: {
+        const evacuation change{entry.name, entry.revision, !entry.deleted};
+        if (known_.take(change)) {
+            apply(std::vector{change});
+        }
+        break;
+    }
+    }
+}
+
+void knowledge_runner::take_one(store_event::listed& event) {
+    if (event.kind == store_kind::searchers) {
+        apply(known_.retain_searchers(event.names, event.revision, event.store_was_away));
+    } else if (event.kind == store_kind::evacuations) {
+        apply(known_.retain_evacuations(event.names, event.revision));
+    }
+    known_.advance(event.kind, event.revision);
+    known_.confirm(loop_.now());
+    log_event(log_level::info, "listed",
+              {{"kind", name_of(event.kind)}, {"entries", event.names.size()}, {"revision", event.revision}});
+}
+
+void knowledge_runner::take_one(store_event::confirmed& event) {
+    known_.advance(event.kind, event.revision);
+    known_.confirm(loop_.now());
+}
+
+void knowledge_runner::take_one(store_event::store_lost& event) {
+    log_event(log_level::warning, "store_lost", {{"kind", name_of(event.kind)}, {"fault", event.detail}});
+}
+
+void knowledge_runner::take_one(store_event::store_regained& event) {
+    log_event(log_level::info, "store_regained",
+              {{"kind", name_of(event.kind)}, {"away_ms", static_cast<std::uint64_t>(to_ms(event.away))}});
+}
+
+void knowledge_runner::apply(const std::vector<registration>& changes) {
+    if (!changes.empty()) {
+        handlers_.on_searchers(changes);
+    }
+}
+
+void knowledge_runner::apply(const std::vector<evacuation>& changes) {
+    if (!changes.empty()) {
+        handlers_.on_evacuations(known_.evacuated_zones());
+    }
+}
+
+void knowledge_runner::apply(const routing_source& source, std::shared_ptr<const routing_table> table) {
+    if (known_.take(source)) {
+        handlers_.on_routing(std::move(table));
+    }
+}
+
+void knowledge_runner::answer_followers() {
+    const auto now = loop_.now();
+    std::erase_if(held_, [&](held_reply& it) {
+        const bool due = now >= it.until || !known_.update_since(it.position, now).empty();
+        if (due) {
+            answer(it);
+        }
+        return due;
+    });
+}
+
+void knowledge_runner::answer(held_reply& it) {
+    const follow_reply reply{group_->view_for(it.zone, loop_.now()),
+                             known_.update_since(it.position, loop_.now())};
+    it.responder->send(encode(reply));
+    it.responder->finish();
+}
+
+std::string knowledge_runner::state_json() const {
+    const auto age = known_.confirmed() ? to_ms(loop_.now() - *known_.confirmed()) : -1;
+    return R"({"routing_version":)" + std::to_string(known_.routing().version) + R"(,"searchers":)" +
+           std::to_string(known_.searchers()) + R"(,"confirmed_ms_ago":)" + std::to_string(age) +
+           R"(,"hosts":)" + std::to_string(hosts_) + R"(,"watching_store":)" +
+           (watching_ ? "true" : "false") + R"(,"followers":)" + std::to_string(held_.size()) + "}";
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -0,0 +1,78 @@
+// Keeps a gateway's knowledge of the platform up to date: from the store where this gateway watches it, else
+// from the gateway that it follows, and hands it on to those that follow it.
+#pragma once
+
+#include <skylarkseam/gateway/knowledge.hpp>
+#include <skylarkseam/gateway/peer_group.hpp>
+#include <skylarkseam/shell/peer_transport.hpp>
+#include <skylarkseam/shell/store_runner.hpp>
+
+#include <functional>
+#include <map>
+
+namespace skylarkseam {
+
+/// What the rest of the gateway is told, each after the change.
+struct knowledge_handlers {
+    std::function<void(const std::vector<registration>& changes)> on_searchers;
+    std::function<void(const std::set<std::string>& zones)> on_evacuations;
+    std::function<void(std::shared_ptr<const routing_table> table)> on_routing;
+    std::function<void(std::uint32_t hosts)> on_hosts;
+};
+
+class knowledge_runner {
+public:
+    knowledge_runner(event_loop& loop, const platform_binding& binding, const std::string& store_url,
+                     peer_limits limits, std::uint64_t epoch, knowledge_handlers handlers);
+
+    /// \param address  where other gateways reach this one
+    void start(const std::string& name, const std::string& zone, const std::string& address,
+               std::vector<std::string> seeds);
+    /// Other gateways follow somebody else from now on.
+    void leave();
+
+    [[nodiscard]] std::uint64_t store_calls() const { return store_.calls(); }
+    [[nodiscard]] std::string state_json() const;
+
+private:
+    /// A follower whose answer is held until there is news.
+    struct held_reply {
+        knowledge_position position;
+        std::string zone;
+        time_point until{};
+        std::shared_ptr<peer_responder> responder;
+    };
+
+    void serve();
+    void tick();
+    void call(const peer_call& it);
+    void take_update(const knowledge_update& update, const std::string& address);
+    void take_store(std::vector<store_output> events);
+    void take_one(store_event::entry_changed& event);
+    void take_one(store_event::listed& event);
+    void take_one(store_event::confirmed& event);
+    void take_one(store_event::store_lost& event);
+    void take_one(store_event::store_regained& event);
+    void apply(const std::vector<registration>& changes);
+    void apply(const std::vector<evacuation>& changes);
+    void apply(const routing_source& source, std::shared_ptr<const routing_table> table);
+    void answer_followers();
+    void answer(held_reply& it);
+
+    event_loop& loop_;
+    const platform_binding& binding_;
+    peer_limits limits_;
+    knowledge_handlers handlers_;
+    peer_client client_;
+    peer_server server_;
+    store_runner store_;
+    knowledge known_;
+    std::unique_ptr<peer_group> group_;
+    wakeup_timer timer_;
+    std::map<std::string, knowledge_position> positions_; ///< of this gateway at the others, by address
+    std::vector<held_reply> held_;
+    std::uint32_t hosts_ = 0;
+    bool watching_ = false;
+};
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/platform_binding.hpp
+++ b/src/skylarkseam/shell/platform_binding.hpp
@@ -17,6 +17,8 @@
     std::function<store_answer(const store_call& call, int status, const std::string& body,
                                const std::string& detail)>
         read_answer;
+    /// Decodes a configuration that another gateway sent as it stands in the store.
+    std::function<store_value(const std::string& text)> read_routing;
 };
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/store_runner.cpp
+++ b/src/skylarkseam/shell/store_runner.cpp
@@ -10,7 +10,17 @@
     , on_output_(std::move(on_output))
     , http_(loop)
     , follower_({}, seed)
-    , timer_(loop, [this] { run(); }) {}
+    , timer_(loop, [this] { run(); }) {
+    follower_.set_active(false, {}, loop_.now());
+}
+
+void store_runner::set_active(bool active, bool patient, const store_revisions& known) {
+    follower_.set_patient(patient);
+    if (active != follower_.active()) {
+        follower_.set_active(active, known, loop_.now());
+        run();
+    }
+}
 
 void store_runner::run() {
     std::vector<store_call> calls;
--- a/src/skylarkseam/shell/store_runner.hpp
+++ b/src/skylarkseam/shell/store_runner.hpp
@@ -15,7 +15,9 @@
     store_runner(event_loop& loop, const platform_binding& binding, std::string url, std::uint64_t seed,
                  output_handler on_output);
 
-    void start() { run(); }
+    /// Calls are made only while it is active. \param patient  a failing store is asked less often
+    /// \param known  what is known of the store from elsewhere
+    void set_active(bool active, bool patient, const store_revisions& known);
 
     [[nodiscard]] const store_follower& state() const { return follower_; }
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
--- /dev/null
+++ b/src/skylarkseam/wire/gateway_codec.cpp
@@ -0,0 +1,217 @@
+#include <skylarkseam/wire/gateway_codec.hpp>
+#include <skylarkseam/wire/msgpack_message.hpp>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::uint32_t view_fields = 4;
+constexpr std::uint32_t identity_fields = 3;
+constexpr std::uint32_t sighting_fields = 2;
+constexpr std::uint32_t position_fields = 3;
+constexpr std::uint32_t request_fields = 3;
+constexpr std::uint32_t reply_fields = 2;
+constexpr std::uint32_t update_fields = 8;
+constexpr std::uint32_t registration_fields = 4;
+constexpr std::uint32_t record_fields = 8;
+constexpr std::uint32_t evacuation_fields = 3;
+constexpr std::uint32_t routing_fields = 2;
+
+void pack(packer& to, const gateway_identity& it) {
+    to.pack_array(identity_fields);
+    to.pack(it.name);
+    to.pack(it.zone);
+    to.pack(it.address);
+}
+
+gateway_identity read_identity(field_reader& from) {
+    gateway_identity it;
+    from.read_into(it.name);
+    from.read_into(it.zone);
+    from.read_into(it.address);
+    return it;
+}
+
+void pack(packer& to, const group_view& it) {
+    to.pack_array(view_fields);
+    pack(to, it.sender);
+    to.pack(it.leaving);
+    to.pack_array(static_cast<std::uint32_t>(it.members.size()));
+    for (const auto& member : it.members) {
+        to.pack_array(sighting_fields);
+        pack(to, member.who);
+        to.pack(member.age.count());
+    }
+    to.pack(it.hosts_of_zone);
+}
+
+group_view read_view(const msgpack::object& from) {
+    field_reader fields(from, view_fields);
+    group_view it;
+    field_reader sender(fields.next_object(), identity_fields);
+    it.sender = read_identity(sender);
+    fields.read_into(it.leaving);
+    it.members = read_list(fields.next_object(), sighting_fields, [](field_reader& reader) {
+        gateway_sighting seen;
+        field_reader who(reader.next_object(), identity_fields);
+        seen.who = read_identity(who);
+        seen.age = reader.next_duration();
+        return seen;
+    });
+    fields.read_into(it.hosts_of_zone);
+    return it;
+}
+
+void pack(packer& to, const searcher_record& it) {
+    to.pack_array(record_fields);
+    to.pack(it.id);
+    to.pack(it.service);
+    to.pack(it.address);
+    to.pack(it.zone);
+    to.pack(it.slots);
+    to.pack(it.draining);
+    to.pack(it.cold_for.count());
+    to.pack(it.started_at);
+}
+
+searcher_record read_record(const msgpack::object& from) {
+    field_reader fields(from, record_fields);
+    searcher_record it;
+    fields.read_into(it.id);
+    fields.read_into(it.service);
+    fields.read_into(it.address);
+    fields.read_into(it.zone);
+    fields.read_into(it.slots);
+    fields.read_into(it.draining);
+    it.cold_for = fields.next_duration();
+    fields.read_into(it.started_at);
+    return it;
+}
+
+void pack(packer& to, const registration& it) {
+    to.pack_array(registration_fields);
+    to.pack(it.id);
+    to.pack(it.revision);
+    to.pack(it.store_was_away);
+    if (it.record) {
+        pack(to, *it.record);
+    } else {
+        to.pack_nil();
+    }
+}
+
+registration read_registration(field_reader& from) {
+    registration it;
+    from.read_into(it.id);
+    from.read_into(it.revision);
+    from.read_into(it.store_was_away);
+    const auto& record = from.next_object();
+    if (!record.is_nil()) {
+        it.record = read_record(record);
+    }
+    return it;
+}
+
+void pack(packer& to, const knowledge_update& it) {
+    to.pack_array(update_fields);
+    to.pack(it.epoch);
+    to.pack(it.sequence);
+    to.pack(it.whole);
+    to.pack(it.revisions);
+    to.pack_array(static_cast<std::uint32_t>(it.registrations.size()));
+    for (const auto& one : it.registrations) {
+        pack(to, one);
+    }
+    to.pack_array(static_cast<std::uint32_t>(it.evacuations.size()));
+    for (const auto& one : it.evacuations) {
+        to.pack_array(evacuation_fields);
+        to.pack(one.zone);
+        to.pack(one.revision);
+        to.pack(one.active);
+    }
+    if (it.routing) {
+        to.pack_array(routing_fields);
+        to.pack(it.routing->version);
+        to.pack(it.routing->text);
+    } else {
+        to.pack_nil();
+    }
+    to.pack(it.age.count());
+}
+
+knowledge_update read_update(const msgpack::object& from) {
+    field_reader fields(from, update_fields);
+    knowledge_update it;
+    fields.read_into(it.epoch);
+    fields.read_into(it.sequence);
+    fields.read_into(it.whole);
+    fields.read_into(it.revisions);
+    it.registrations = read_list(fields.next_object(), registration_fields, &read_registration);
+    it.evacuations = read_list(fields.next_object(), evacuation_fields, [](field_reader& reader) {
+        evacuation one;
+        reader.read_into(one.zone);
+        reader.read_into(one.revision);
+        reader.read_into(one.active);
+        return one;
+    });
+    const auto& routing = fields.next_object();
+    if (!routing.is_nil()) {
+        field_reader source(routing, routing_fields);
+        it.routing.emplace();
+        source.read_into(it.routing->version);
+        source.read_into(it.routing->text);
+    }
+    it.age = fields.next_duration();
+    return it;
+}
+
+} // namespace
+
+std::string encode(const group_view& view) {
+    return packed(1, [&](packer& to) { pack(to, view); });
+}
+
+std::string encode(const follow_request& request) {
+    return packed(request_fields, [&](packer& to) {
+        pack(to, request.view);
+        to.pack_array(position_fields);
+        to.pack(request.position.epoch);
+        to.pack(request.position.sequence);
+        to.pack(request.position.routing_version);
+        to.pack(request.wait.count());
+    });
+}
+
+std::string encode(const follow_reply& reply) {
+    return packed(reply_fields, [&](packer& to) {
+        pack(to, reply.view);
+        pack(to, reply.update);
+    });
+}
+
+result<group_view> decode_group_view(std::string_view bytes) {
+    return unpacked<group_view>(bytes, 1, [](field_reader& from) { return read_view(from.next_object()); });
+}
+
+result<follow_request> decode_follow_request(std::string_view bytes) {
+    return unpacked<follow_request>(bytes, request_fields, [](field_reader& from) {
+        follow_request it;
+        it.view = read_view(from.next_object());
+        field_reader position(from.next_object(), position_fields);
+        position.read_into(it.position.epoch);
+        position.read_into(it.position.sequence);
+        position.read_into(it.position.routing_version);
+        it.wait = from.next_duration();
+        return it;
+    });
+}
+
+result<follow_reply> decode_follow_reply(std::string_view bytes) {
+    return unpacked<follow_reply>(bytes, reply_fields, [](field_reader& from) {
+        follow_reply it;
+        it.view = read_view(from.next_object());
+        it.update = read_update(from.next_object());
+        return it;
+    });
+}
+
+} // namespace skylarkseam
--- /dev/null
+++ b/src/skylarkseam/wire/gateway_codec.hpp
@@ -0,0 +1,33 @@
+// Messages between gateways, as msgpack.
+#pragma once
+
+#include <skylarkseam/core/error.hpp>
+#include <skylarkseam/gateway/knowledge.hpp>
+#include <skylarkseam/gateway/peer_group.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace skylarkseam {
+
+/// Asks a gateway for what it knows beyond `position`; the answer may be held for `wait` while there is nothing.
+struct follow_request {
+    group_view view;
+    knowledge_position position;
+    duration wait{};
+};
+
+struct follow_reply {
+    group_view view;
+    knowledge_update update;
+};
+
+[[nodiscard]] std::string encode(const group_view& view);
+[[nodiscard]] std::string encode(const follow_request& request);
+[[nodiscard]] std::string encode(const follow_reply& reply);
+
+[[nodiscard]] result<group_view> decode_group_view(std::string_view bytes);
+[[nodiscard]] result<follow_request> decode_follow_request(std::string_view bytes);
+[[nodiscard]] result<follow_reply> decode_follow_reply(std::string_view bytes);
+
+} // namespace skylarkseam
