--- a/src/skylarkseam/gateway/searcher.cpp
+++ b/src/skylarkseam/gateway/searcher.cpp
@@ -6,6 +6,8 @@
 
 constexpr double slowness_gain = 1.0 / 4.0; ///< a searcher that turns slow is noticed within a few answers
 constexpr double failure_gain = 1.0 / 8.0;
+constexpr double outlier_ratio = 4.0;  ///< a single answer counts for no more than this ...
+constexpr double outlier_growth = 2.0; ///< ... or this times what is believed already
 constexpr double least_slowness = 0.25;
 constexpr double most_slowness = 40.0;
 constexpr duration memory = seconds(3); ///< without an answer for so long, what was observed is forgotten
@@ -48,9 +50,12 @@
 void searcher::on_answer(duration latency, duration usual, time_point now) {
     const double ratio = static_cast<double>(std::max(latency, microseconds(100)).count()) /
                          static_cast<double>(std::max(usual, microseconds(500)).count());
-    const bool forgotten = now - last_ended > memory;
-    slowness = forgotten ? ratio : slowness + slowness_gain * (ratio - slowness);
-    slowness = std::clamp(slowness, least_slowness, most_slowness);
+    if (now - last_ended > memory) {
+        slowness = 1.0;
+    }
+    // One answer that a pause held up must not count like a searcher that has turned slow.
+    const double bounded = std::min(ratio, std::max(outlier_ratio, outlier_growth * slowness));
+    slowness = std::clamp(slowness + slowness_gain * (bounded - slowness), least_slowness, most_slowness);
     failure_share -= failure_gain * failure_share;
     failures_in_row = 0;
     last_answer = now;
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,247 @@
+// The gateway's decisions against model searchers in virtual time: what clients get, what runs how often, and
+// what is said of it.
+#include "gateway_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+const std::vector<std::string> zones{"a", "b", "c"};
+
+std::vector<std::string> add_shards(gateway_world& world, int count, std::uint32_t slots = 4) {
+    std::vector<std::string> names;
+    for (int n = 0; n < count; ++n) {
+        names.push_back("shard" + std::to_string(n));
+        world.add_service(names.back(), slots, zones);
+    }
+    return names;
+}
+
+double share_in(const std::vector<client_result>& results, duration objective) {
+    const auto n = std::count_if(results.begin(), results.end(),
+                                 [&](const auto& it) { return it.status == 200 && it.latency <= objective; });
+    return static_cast<double>(n) / static_cast<double>(results.size());
+}
+
+struct shards_fixture {
+    gateway_world world{3};
+    std::vector<std::string> shards = add_shards(world, 10);
+    shards_fixture() {
+        world.add_route(shard_route(shards, 0.89));
+        world.publish();
+    }
+};
+
+struct single_fixture {
+    gateway_world world{1};
+    single_fixture() { world.add_service("desk", 4, zones); }
+    void route(repeatability repeat) {
+        world.add_route(single_route("desk", repeat));
+        world.publish();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_gateway)
+
+BOOST_AUTO_TEST_SUITE(before_it_knows_anything)
+
+BOOST_AUTO_TEST_CASE(says_that_nothing_has_run_and_when_to_come_back) {
+    gateway_world world;
+    world.ask("/search/x");
+    BOOST_TEST_REQUIRE(world.results.size() == 1U);
+    BOOST_TEST(world.results[0].status == 503);
+    BOOST_TEST((world.results[0].retry_after > duration::zero()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(over_shards, shards_fixture)
+
+BOOST_AUTO_TEST_CASE(merges_the_parts_of_every_shard) {
+    world.ask("/search/x");
+    world.run_for(seconds(1));
+    BOOST_TEST_REQUIRE(world.results.size() == 1U);
+    BOOST_TEST(world.results[0].status == 200);
+    BOOST_TEST(world.results[0].missing == 0U);
+    BOOST_TEST(world.extra_arrivals == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(has_no_route_for_another_path) {
+    world.ask("/other/x");
+    BOOST_TEST(world.results.at(0).status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_objective_while_every_searcher_pauses_in_turn) {
+    std::int64_t n = 0;
+    for (auto& [name, list] : world.searchers) {
+        for (auto& it : list) {
+            it->behaves.pause = milliseconds(300);
+            it->behaves.pause_every = milliseconds(7500);
+            it->behaves.pause_offset = milliseconds(n++ * 1234);
+        }
+    }
+    world.load("/search/x", 180.0, seconds(20));
+    world.run_for(seconds(24));
+    BOOST_TEST(share_in(world.results, milliseconds(250)) >= 0.99);
+    // The budget of each service: a fifth of its requests and 56 in every 10 s.
+    BOOST_TEST(world.extra_arrivals <= 10U * (20U * 180U / 5U + 2U * 56U));
+}
+
+BOOST_AUTO_TEST_CASE(answers_partially_and_at_once_while_a_whole_shard_is_dark) {
+    world.load("/search/x", 60.0, seconds(2));
+    world.run_for(seconds(4));
+    for (auto& it : world.searchers.at("shard3")) {
+        it->behaves.dark = true;
+    }
+    world.load("/search/x", 60.0, seconds(3));
+    world.run_for(seconds(2));
+    world.results.clear();
+    world.run_for(seconds(3));
+    BOOST_TEST(share_in(world.results, milliseconds(250)) >= 0.99);
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.missing <= 1U);
+    }
+
+    // Once it is back, answers are whole again within the longest pause between two tests.
+    for (auto& it : world.searchers.at("shard3")) {
+        it->behaves.dark = false;
+    }
+    world.run_for(seconds(1));
+    world.load("/search/x", 60.0, seconds(2));
+    world.run_for(seconds(2));
+    world.results.clear();
+    world.load("/search/x", 60.0, seconds(2));
+    world.run_for(seconds(3));
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.missing == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(steps_round_slow_searchers) {
+    // 15 of 100 searchers take ten times as long, as on the users' bad days.
+    for (const auto* const name : {"shard0", "shard2", "shard5", "shard7"}) {
+        world.at(name, 0).behaves.slow = 10.0;
+    }
+    world.load("/search/x", 150.0, seconds(8));
+    world.run_for(seconds(2));
+    world.results.clear();
+    world.run_for(seconds(8));
+    BOOST_TEST(share_in(world.results, milliseconds(250)) >= 0.95);
+}
+
+BOOST_AUTO_TEST_CASE(fails_at_once_when_too_few_shards_can_answer) {
+    world.load("/search/x", 60.0, seconds(2));
+    world.run_for(seconds(4));
+    for (const auto* const name : {"shard3", "shard4"}) {
+        for (auto& it : world.searchers.at(name)) {
+            it->behaves.dark = true;
+        }
+    }
+    world.load("/search/x", 60.0, seconds(4));
+    world.run_for(seconds(3));
+    world.results.clear();
+    world.run_for(milliseconds(900));
+    BOOST_TEST_REQUIRE(!world.results.empty());
+    std::vector<duration> times;
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status != 200);
+        times.push_back(it.latency);
+    }
+    std::sort(times.begin(), times.end());
+    BOOST_TEST((times[times.size() / 2] < milliseconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(stops_all_work_when_the_client_leaves) {
+    const auto token = world.ask("/search/x");
+    world.run_for(milliseconds(2));
+    world.leave(token);
+    world.run_for(seconds(1));
+    BOOST_TEST(world.results.empty());
+    BOOST_TEST(world.hosts[0]->open_requests() == 0U);
+    BOOST_TEST(world.hosts[0]->counters().cancelled == 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(to_one_service, single_fixture)
+
+BOOST_AUTO_TEST_CASE(never_sends_twice_what_must_not_run_twice) {
+    route(repeatability::at_most_once);
+    for (auto& it : world.searchers.at("desk")) {
+        it->behaves.loses = 0.3;
+        it->behaves.refuses = 0.2;
+        it->behaves.slow = 5.0;
+    }
+    world.load("/audit/x", 50.0, seconds(10));
+    world.run_for(seconds(20));
+    const auto runs = world.runs_of("desk");
+    for (const auto& [id, count] : runs) {
+        BOOST_TEST(count == 1, id);
+    }
+    // What is refused as not run has not run.
+    for (const auto& it : world.results) {
+        if (it.status == 503) {
+            BOOST_TEST(runs.count(it.id) == 0U);
+            BOOST_TEST((it.retry_after > duration::zero()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sends_again_what_may_run_twice) {
+    route(repeatability::idempotent);
+    for (auto& it : world.searchers.at("desk")) {
+        it->behaves.loses = 0.1;
+    }
+    world.load("/audit/x", 20.0, seconds(10));
+    world.run_for(seconds(20));
+    BOOST_TEST(share_in(world.results, milliseconds(800)) >= 0.97);
+}
+
+BOOST_AUTO_TEST_CASE(asks_nobody_at_an_address_that_another_searcher_has) {
+    route(repeatability::at_most_once);
+    world.at("desk", 0).behaves.replaced = true;
+    for (int n = 0; n < 5; ++n) {
+        world.ask("/audit/x");
+        world.run_for(seconds(1));
+    }
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status == 200);
+    }
+    BOOST_TEST(world.hosts[0]->counters().extra_attempts == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_at_the_deadline_whatever_the_searcher_does) {
+    route(repeatability::at_most_once);
+    for (auto& it : world.searchers.at("desk")) {
+        it->behaves.dark = true;
+    }
+    world.ask("/audit/x", 0, milliseconds(1000));
+    world.run_for(milliseconds(1000));
+    BOOST_TEST_REQUIRE(world.results.size() == 1U);
+    BOOST_TEST(world.results[0].status == 504);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_what_finds_no_room_in_a_quarter_of_its_objective) {
+    route(repeatability::at_most_once);
+    world.work = seconds(6);
+    for (int n = 0; n < 200; ++n) {
+        world.ask("/audit/x");
+    }
+    world.run_for(milliseconds(201));
+    BOOST_TEST_REQUIRE(!world.results.empty());
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status == 503);
+        BOOST_TEST((it.latency <= milliseconds(200)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/gateway_world.cpp
@@ -0,0 +1,283 @@
+#include "gateway_world.hpp"
+
+#include <cmath>
+
+namespace skylarkseam::testing {
+namespace {
+
+const std::vector<std::string> zone_names{"a", "b", "c"};
+
+std::map<std::string, std::string> regions() {
+    return {{"a", "north"}, {"b", "east"}, {"c", "south"}};
+}
+
+} // namespace
+
+gateway_route shard_route(const std::vector<std::string>& services, double least_share) {
+    gateway_route route;
+    route.name = "search";
+    route.host = "search.example";
+    route.prefix = "/search/";
+    route.repeat = repeatability::idempotent;
+    route.timeout = milliseconds(2500);
+    route.objective = milliseconds(250);
+    route.max_attempts = 2;
+    route.plan = shard_set{services, 50, least_share};
+    return route;
+}
+
+gateway_route single_route(const std::string& service, repeatability repeat) {
+    gateway_route route;
+    route.name = "audit";
+    route.host = "search.example";
+    route.prefix = "/audit/";
+    route.repeat = repeat;
+    route.timeout = milliseconds(8000);
+    route.objective = milliseconds(800);
+    route.max_attempts = 2;
+    route.plan = single_service{service};
+    return route;
+}
+
+gateway_world::gateway_world(std::uint32_t host_count, std::uint64_t seed)
+    : random_(seed) {
+    for (std::uint32_t n = 0; n < host_count; ++n) {
+        gateway_options options;
+        const auto& zone = zone_names[n % zone_names.size()];
+        options.view = {zone, regions().at(zone), regions()};
+        options.extra = {0.2, 56.0, seconds(10)};
+        options.seed = seed * 100 + n;
+        hosts.push_back(std::make_unique<gateway>(options));
+        hosts.back()->set_hosts(host_count);
+    }
+}
+
+void gateway_world::add_service(const std::string& name, std::uint32_t slots,
+                                const std::vector<std::string>& zones, std::uint32_t connections) {
+    table_->services[name] = {name, connections, 0.0};
+    for (const auto& zone : zones) {
+        auto it = std::make_unique<model_searcher>();
+        const auto n = by_address_.size();
+        it->record = {name + "-" + std::to_string(n),
+                      name,
+                      "10.0.0." + std::to_string(n) + ":80",
+                      zone,
+                      slots,
+                      false,
+                      {},
+                      1};
+        by_address_[it->record.address] = it.get();
+        by_id_[it->record.id] = it.get();
+        searchers[name].push_back(std::move(it));
+    }
+}
+
+void gateway_world::add_route(gateway_route route) {
+    table_->routes.push_back(std::move(route));
+}
+
+void gateway_world::publish() {
+    table_->version += 1;
+    const auto table = std::make_shared<routing_table>(*table_);
+    for (std::uint32_t n = 0; n < hosts.size(); ++n) {
+        std::vector<gateway_output> out;
+        hosts[n]->set_table(table, now, out);
+        for (const auto& [name, list] : searchers) {
+            for (const auto& it : list) {
+                hosts[n]->searchers().put(it->record, now);
+            }
+        }
+        hosts[n]->on_searchers_changed(now, out);
+        perform(n, std::move(out));
+    }
+}
+
+model_searcher& gateway_world::at(const std::string& service, std::size_t n) {
+    return *searchers.at(service).at(n);
+}
+
+void gateway_world::after(duration delay, std::function<void()> task) {
+    events_.push({now + delay, ++order_, std::move(task)});
+}
+
+void gateway_world::run_for(duration time) {
+    const auto end = now + time;
+    while (!events_.empty() && events_.top().when <= end) {
+        auto task = events_.top().task;
+        now = events_.top().when;
+        events_.pop();
+        task();
+    }
+    now = end;
+}
+
+request_token gateway_world::ask(const std::string& path, std::uint32_t host,
+                                 std::optional<duration> patience) {
+    const auto token = ++last_token_;
+    gateway_request request;
+    request.token = token;
+    request.id = "r" + std::to_string(token);
+    request.host = "search.example";
+    request.path = path;
+    request.time_left = patience;
+    asked_[token] = {request.id, now};
+    handle(host, gateway_event::request_arrived{request});
+    return token;
+}
+
+void gateway_world::leave(request_token token, std::uint32_t host) {
+    handle(host, gateway_event::client_left{token});
+}
+
+void gateway_world::load(const std::string& path, double per_second, duration time) {
+    duration at{};
+    std::uint32_t host = 0;
+    while (at < time) {
+        at += duration(static_cast<std::int64_t>(-std::log(1.0 - uniform()) * 1e6 / per_second));
+        after(at, [this, path, host] { ask(path, host); });
+        host = (host + 1) % static_cast<std::uint32_t>(hosts.size());
+    }
+}
+
+std::map<std::string, int> gateway_world::runs_of(const std::string& service) const {
+    const auto it = runs_.find(service);
+    return it == runs_.end() ? std::map<std::string, int>{} : it->second;
+}
+
+void gateway_world::handle(std::uint32_t host, gateway_input input) {
+    std::vector<gateway_output> out;
+    hosts[host]->handle(std::move(input), now, out);
+    perform(host, std::move(out));
+}
+
+void gateway_world::wake(std::uint32_t host) {
+    if (const auto next = hosts[host]->next_wakeup()) {
+        const auto delay = std::max(microseconds(100), *next - now);
+        after(delay, [this, host] {
+            const auto due = hosts[host]->next_wakeup();
+            if (due && *due <= now) {
+                handle(host, gateway_event::time_passed{});
+            }
+        });
+    }
+}
+
+void gateway_world::perform(std::uint32_t host, std::vector<gateway_output> actions) {
+    struct visitor {
+        gateway_world& self;
+        std::uint32_t host;
+        void operator()(const gateway_action::send& it) const { self.send(host, it); }
+        void operator()(const gateway_action::cancel& it) const {
+            const auto key = (attempt_id{host} << 48U) | it.id;
+            const auto found = self.flights_.find(key);
+            if (found != self.flights_.end()) {
+                found->second->cancelled = true;
+                self.flights_.erase(found);
+            }
+        }
+        void operator()(const gateway_action::answer& it) const {
+            const auto asked = self.asked_.at(it.token);
+            client_result result{
+                it.token, asked.id, 200, it.summary.parts, it.summary.parts_missing, self.now - asked.when,
+                {}};
+            if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
+                result.status = refused->status;
+                result.retry_after = refused->retry_after;
+            } else if (const auto* const forwarded = std::get_if<gateway_answer::forwarded>(&it.value)) {
+                result.status = forwarded->response.status;
+            }
+            self.results.push_back(result);
+        }
+        void operator()(const gateway_action::note_searcher&) const {}
+    };
+    for (const auto& it : actions) {
+        std::visit(visitor{*this, host}, it);
+    }
+    wake(host);
+}
+
+duration gateway_world::link(std::uint32_t host, const model_searcher& it) const {
+    return zone_names[host % zone_names.size()] == it.record.zone ? in_zone : cross_region;
+}
+
+void gateway_world::send(std::uint32_t host, const gateway_action::send& action) {
+    auto to = std::make_shared<flight>(flight{host, action.id, false});
+    flights_[(attempt_id{host} << 48U) | action.id] = to;
+    auto& target = *by_address_.at(action.address);
+    const auto id = asked_.at(action.token).id;
+    after(link(host, target), [this, &target, to, id] { arrive(target, to, id); });
+}
+
+void gateway_world::arrive(model_searcher& it, const std::shared_ptr<flight>& to, const std::string& id) {
+    if (it.behaves.dark || to->cancelled) {
+        return;
+    }
+    attempt_result result;
+    if (it.behaves.replaced) {
+        result.outcome = attempt_outcome::replaced;
+        reply(it, to, result);
+        return;
+    }
+    ++it.arrivals;
+    extra_arrivals += arrivals_[it.record.service][id]++ > 0 ? 1 : 0;
+    if (uniform() < it.behaves.refuses || it.queued.size() >= it.queue_limit) {
+        result.outcome = attempt_outcome::refused;
+        reply(it, to, result);
+        return;
+    }
+    if (it.running < it.record.slots) {
+        run(it, to, id);
+        return;
+    }
+    it.queued.push_back([this, &it, to, id] { run(it, to, id); });
+}
+
+duration gateway_world::pause_left(const model_searcher& it) const {
+    if (it.behaves.pause_every == duration::zero()) {
+        return {};
+    }
+    const auto phase = (now.time_since_epoch() + it.behaves.pause_offset) % it.behaves.pause_every;
+    return phase < it.behaves.pause ? it.behaves.pause - phase : duration::zero();
+}
+
+void gateway_world::run(model_searcher& it, const std::shared_ptr<flight>& to, const std::string& id) {
+    if (to->cancelled) {
+        return;
+    }
+    ++it.running;
+    ++runs_[it.record.service][id];
+    const double factor = (0.6 + 0.8 * uniform()) * it.behaves.slow;
+    const auto took = duration(static_cast<std::int64_t>(static_cast<double>(work.count()) * factor));
+    after(took + pause_left(it), [this, &it, to, id] {
+        --it.running;
+        attempt_result result;
+        result.outcome = attempt_outcome::answered;
+        result.response.status = uniform() < it.behaves.fails ? 500 : 200;
+        result.response.proof = it.record.id + ":" + id;
+        result.response.body = std::string(16, 'r');
+        if (uniform() < it.behaves.loses) {
+            result = {};
+        }
+        if (!it.behaves.dark) {
+            reply(it, to, result);
+        }
+        while (!it.queued.empty() && it.running < it.record.slots) {
+            auto next = std::move(it.queued.front());
+            it.queued.erase(it.queued.begin());
+            next();
+        }
+    });
+}
+
+void gateway_world::reply(const model_searcher& from, const std::shared_ptr<flight>& to,
+                          attempt_result result) {
+    after(link(to->host, from), [this, to, result = std::move(result)] {
+        if (to->cancelled) {
+            return;
+        }
+        flights_.erase((attempt_id{to->host} << 48U) | to->id);
+        handle(to->host, gateway_event::attempt_ended{to->id, result});
+    });
+}
+
+} // namespace skylarkseam::testing
