Ask the store 100 ms after a restart; logs on standard output, bounded and never blocking

Logs were written and flushed line by line to standard error. Change: the settings say whether the deployment starts for the first time; after a restart the store is asked 100 ms later. Log lines go through a bounded buffer with a rate, which the loop writes as far as the reader takes it.

--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -6,10 +6,11 @@
 namespace skylarkseam {
 
 peer_group::peer_group(gateway_identity self, std::vector<std::string> seeds, peer_timing timing,
-                       time_point now)
+                       bool first_start, time_point now)
     : self_(std::move(self))
     , seeds_(std::move(seeds))
     , timing_(timing)
+    , alone_(first_start ? timing.alone : timing.alone_again)
     , began_(now)
     , greet_due_(now)
     , follow_due_(now) {
@@ -137,10 +138,10 @@
 
 bool peer_group::should_watch(std::optional<time_point> confirmed, time_point now) const {
     if (leads(now)) {
-        return first_of_zone(self_.zone, now) != nullptr || followed_at_ || now >= began_ + timing_.alone ||
+        return first_of_zone(self_.zone, now) != nullptr || followed_at_ || now >= began_ + alone_ ||
                seeds_.empty();
     }
-    return confirmed ? now - *confirmed > timing_.stale : now > began_ + 2 * timing_.alone;
+    return confirmed ? now - *confirmed > timing_.stale : now > began_ + 2 * alone_;
 }
 
 group_view peer_group::view_for(const std::string& zone, time_point now) const {
@@ -184,6 +185,10 @@
 
 std::optional<time_point> peer_group::next_wakeup() const {
     std::optional<time_point> next = greet_due_;
+    if (!followed_at_ && alone_ < timing_.greet_pause) {
+        // Whether to ask the store by itself is decided between two greetings.
+        next = std::min(*next, greet_due_ - timing_.greet_pause + alone_);
+    }
     if (!follow_open_) {
         next = std::min(*next, follow_due_);
     }
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -44,7 +44,9 @@
     duration shun = milliseconds(2500);        ///< a peer that failed or was stale is not asked for so long
     duration forget = seconds(8);              ///< a gateway that is not heard of for so long has gone
     duration stale = milliseconds(4500);       ///< older knowledge than this is no longer relied on
-    duration alone = milliseconds(700);        ///< after so long without a peer a new gateway asks the store
+    duration alone = milliseconds(700); ///< after so long without a peer a new gateway asks the store, where
+                                        ///< all gateways start for the first time and no client waits
+    duration alone_again = milliseconds(100); ///< the same after a restart: a greeting's round trip
 };
 
 /// A call to another gateway.
@@ -57,7 +59,9 @@
 /// Invariant: at most one follow call is open.
 class peer_group {
 public:
-    peer_group(gateway_identity self, std::vector<std::string> seeds, peer_timing timing, time_point now);
+    /// \param first_start  the whole deployment starts for the first time
+    peer_group(gateway_identity self, std::vector<std::string> seeds, peer_timing timing, bool first_start,
+               time_point now);
 
     void take_calls(time_point now, std::vector<peer_call>& out);
     /// \param view  absent: the call failed. \param age  of the knowledge that a follow call brought
@@ -92,6 +96,7 @@
     gateway_identity self_;
     std::vector<std::string> seeds_;
     peer_timing timing_;
+    duration alone_;
     time_point began_;
     bool leaving_ = false;
     std::map<std::string, member> members_; ///< by name, without this one
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -51,6 +51,7 @@
     }
 
     int run() {
+        write_logs_by(loop_);
         loop_.on_operator_signals([] { log_event(log_level::info, "reload", {}); },
                                   [this] {
                                       log_event(log_level::info, "state", {{"dump", admin_.state_json()}});
@@ -62,9 +63,11 @@
         log_event(log_level::info, "start",
                   {{"callers", callers}, {"readiness", ready}, {"admin", admin}, {"zone", settings_.zone}});
         admin_.add_section("knowledge", [this] { return knowledge_.state_json(); });
-        knowledge_.start(settings_.name, settings_.zone, settings_.listen.peers, peer_seeds());
+        knowledge_.start(settings_.name, settings_.zone, settings_.listen.peers, peer_seeds(),
+                         settings_.gateway->first_start);
         loop_.run();
         log_event(log_level::info, "stop", {{"open_requests", front_.open_requests()}});
+        flush_logs();
         return exit_code_;
     }
 
@@ -150,6 +153,7 @@
         metrics_.gauge("store_calls", {}, static_cast<double>(knowledge_.store_calls()));
         metrics_.gauge("open_requests", {}, static_cast<double>(front_.open_requests()));
         metrics_.gauge("configuration_version", {}, static_cast<double>(front_.decisions().table()->version));
+        metrics_.gauge("log_lines_left_out", {}, static_cast<double>(log_lines_left_out()));
         metrics_.gauge("searchers", {}, static_cast<double>(front_.decisions().searchers().size()));
     }
 
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -29,11 +29,10 @@
     , timer_(loop, [this] { tick(); }) {}
 
 void knowledge_runner::start(const std::string& name, const std::string& zone, const std::string& address,
-                             std::vector<std::string> seeds) {
+                             std::vector<std::string> seeds, bool first_start) {
     serve();
     const auto bound = server_.listen(address);
-    group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing,
-                                          loop_.now());
+    group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing, first_start, loop_.now());
     log_event(log_level::info, "peers_listening", {{"address", bound}});
     tick();
 }
--- a/src/skylarkseam/shell/logging.cpp
+++ b/src/skylarkseam/shell/logging.cpp
@@ -1,11 +1,11 @@
 #include <skylarkseam/core/name_table.hpp>
+#include <skylarkseam/shell/log_output.hpp>
 #include <skylarkseam/shell/logging.hpp>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
@@ -13,13 +13,68 @@
 #include <chrono>
 #include <cstdio>
 #include <ctime>
-#include <iostream>
+#include <thread>
+#include <unistd.h>
 
 namespace skylarkseam {
 namespace {
 
 namespace logging = boost::log;
-using sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+constexpr duration flush_interval = milliseconds(250);
+constexpr int flush_tries_at_end = 20; ///< 10 ms apart
+
+/// The standard output, and the loop that writes it.
+struct log_target {
+    log_output output{STDOUT_FILENO, {}};
+    event_loop* loop = nullptr;
+    bool flush_due = false;
+};
+
+log_target& target() {
+    static log_target instance;
+    return instance;
+}
+
+time_point steady_now() {
+    if (target().loop != nullptr) {
+        return target().loop->now();
+    }
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{std::chrono::duration_cast<duration>(since_start)};
+}
+
+/// Flushes once for all lines of a while.
+void flush_soon() {
+    auto& it = target();
+    if (it.loop == nullptr) {
+        it.output.flush();
+        return;
+    }
+    if (it.flush_due) {
+        return;
+    }
+    it.flush_due = true;
+    it.loop->run_after(flush_interval, [&it] {
+        it.flush_due = false;
+        it.output.flush();
+        if (!it.output.empty()) {
+            flush_soon();
+        }
+    });
+}
+
+/// Hands formatted lines to the bounded output.
+class bounded_backend : public logging::sinks::basic_formatted_sink_backend<char> {
+public:
+    void consume(const logging::record_view& record, const string_type& line) {
+        const auto level = record["Severity"].extract<log_level>();
+        const bool important = level && *level >= log_level::warning;
+        target().output.add(line, important, steady_now());
+        flush_soon();
+    }
+};
+
+using sink = logging::sinks::synchronous_sink<bounded_backend>;
 
 constexpr name_table level_names{std::array{
     named_value<log_level>{log_level::trace, "trace"},
@@ -85,16 +140,31 @@
 
 void start_logging(log_level level, const std::string& node) {
     node_name() = node;
-    auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto front = boost::make_shared<sink>(backend);
+    auto front = boost::make_shared<sink>(boost::make_shared<bounded_backend>());
     front->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->remove_all_sinks();
     logging::core::get()->add_sink(front);
     logging::core::get()->set_filter(logging::expressions::attr<log_level>("Severity") >= level);
 }
 
+void write_logs_by(event_loop& loop) {
+    target().loop = &loop;
+}
+
+void flush_logs() {
+    target().loop = nullptr;
+    for (int n = 0; n < flush_tries_at_end && !target().output.empty(); ++n) {
+        target().output.flush();
+        if (!target().output.empty()) {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    }
+}
+
+std::uint64_t log_lines_left_out() {
+    return target().output.left_out();
+}
+
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
     auto record = logger().open_record(logging::keywords::severity = level);
     if (!record) {
--- a/src/skylarkseam/shell/logging.hpp
+++ b/src/skylarkseam/shell/logging.hpp
@@ -1,7 +1,8 @@
-// Logs by Boost.Log: one line of key=value pairs for each event, on the standard error stream.
+// Logs by Boost.Log: one line of key=value pairs for each event, on the standard output.
 #pragma once
 
 #include <skylarkseam/core/settings.hpp>
+#include <skylarkseam/shell/event_loop.hpp>
 
 #include <cstdint>
 #include <initializer_list>
@@ -32,6 +33,15 @@
 /// Sets up the sink and the level; called once, before the first event.
 void start_logging(log_level level, const std::string& node);
 
+/// From now on lines are gathered and written by the loop, in turns; before, each is written at once.
+void write_logs_by(event_loop& loop);
+
+/// Writes what is left, as far as the reader takes it; before the process ends.
+void flush_logs();
+
+/// Lines that were left out since the start, since there were too many or the reader was too slow.
+[[nodiscard]] std::uint64_t log_lines_left_out();
+
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -70,11 +70,13 @@
                          [this](auto config) { take_configuration(std::move(config)); }) {}
 
     int run() {
+        write_logs_by(loop_);
         loop_.on_termination([this] { on_signal(); });
         listen();
         add_sections();
         follow_holder();
         loop_.run();
+        flush_logs();
         return exit_code_;
     }
 
