Tests of the gateway's parts; hosts are counted by the watching gateway; one name for each type

Cause: two types were called searcher, one in core and one in gateway, so that their inline functions could be mixed up when linked; relayed counts of hosts overwrote newer ones with older ones (found by the new test of a group of gateways). Change: known_searcher; counts carry their age and only a watching gateway states its zone's; tests of the platform's decoding, the store follower, knowledge, the group, budgets, splits, merging and the waiting order.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -8,7 +8,7 @@
     , on_change_(std::move(on_change)) {}
 
 void directory::add(const searcher_record& record, time_point now) {
-    auto it = std::make_shared<searcher>();
+    auto it = std::make_shared<known_searcher>();
     it->record = record;
     const auto region = view_.region_of_zone.find(record.zone);
     it->region = region == view_.region_of_zone.end() ? std::string() : region->second;
@@ -121,20 +121,20 @@
     return next;
 }
 
-void directory::mark_replaced(searcher& it) {
+void directory::mark_replaced(known_searcher& it) {
     if (it.fault != searcher_fault::replaced) {
         it.fault = searcher_fault::replaced;
         on_change_(it, "replaced", "another searcher has its address");
     }
 }
 
-const std::vector<searcher_ptr>& directory::of_service(const std::string& service) const {
-    static const std::vector<searcher_ptr> none;
+const std::vector<known_searcher_ptr>& directory::of_service(const std::string& service) const {
+    static const std::vector<known_searcher_ptr> none;
     const auto it = by_service_.find(service);
     return it == by_service_.end() ? none : it->second;
 }
 
-bool directory::drained(const searcher& it, time_point now) const {
+bool directory::drained(const known_searcher& it, time_point now) const {
     return it.leaving && now >= *it.leaving + timing_.drain_grace;
 }
 
--- a/src/skylarkseam/gateway/directory.hpp
+++ b/src/skylarkseam/gateway/directory.hpp
@@ -2,7 +2,7 @@
 // what requests to them did.
 #pragma once
 
-#include <skylarkseam/gateway/searcher.hpp>
+#include <skylarkseam/gateway/known_searcher.hpp>
 
 #include <functional>
 #include <map>
@@ -28,14 +28,14 @@
     duration drain_grace = milliseconds(2500);
 };
 
-using searcher_ptr = std::shared_ptr<searcher>;
+using known_searcher_ptr = std::shared_ptr<known_searcher>;
 
 /// Invariants: each id stands once; a searcher with another start time or address is another object, so that
 /// attempts at the earlier one say nothing of it.
 class directory {
 public:
     using observer =
-        std::function<void(const searcher& it, std::string_view belief, std::string_view reason)>;
+        std::function<void(const known_searcher& it, std::string_view belief, std::string_view reason)>;
 
     directory(placement_view view, directory_timing timing, observer on_change);
 
@@ -53,12 +53,12 @@
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
 
     /// Another searcher answered at its address: it gets nothing more unless it registers anew.
-    void mark_replaced(searcher& it);
+    void mark_replaced(known_searcher& it);
 
-    [[nodiscard]] const std::vector<searcher_ptr>& of_service(const std::string& service) const;
+    [[nodiscard]] const std::vector<known_searcher_ptr>& of_service(const std::string& service) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
-    [[nodiscard]] const std::map<std::string, searcher_ptr>& all() const { return by_id_; }
-    [[nodiscard]] bool drained(const searcher& it, time_point now) const;
+    [[nodiscard]] const std::map<std::string, known_searcher_ptr>& all() const { return by_id_; }
+    [[nodiscard]] bool drained(const known_searcher& it, time_point now) const;
     [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
 
 private:
@@ -68,8 +68,8 @@
     placement_view view_;
     directory_timing timing_;
     observer on_change_;
-    std::map<std::string, searcher_ptr> by_id_;
-    std::map<std::string, std::vector<searcher_ptr>> by_service_;
+    std::map<std::string, known_searcher_ptr> by_id_;
+    std::map<std::string, std::vector<known_searcher_ptr>> by_service_;
     std::map<std::string, time_point> removals_; ///< ids whose entries have gone, and when to forget them
     std::set<std::string> evacuated_;
 };
--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
-#include <skylarkseam/gateway/searcher.hpp>
+#include <skylarkseam/gateway/known_searcher.hpp>
 
 #include <optional>
 #include <string>
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -56,7 +56,7 @@
     : options_(std::move(options))
     , searchers_(
           options_.view, options_.timing,
-          [this](const searcher& it, std::string_view belief, std::string_view reason) {
+          [this](const known_searcher& it, std::string_view belief, std::string_view reason) {
               notes_.push_back({it.record.id, it.record.service, std::string(belief), std::string(reason)});
           })
     , placement_(searchers_, trips_, options_.seed)
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -65,7 +65,7 @@
     struct attempt {
         request_token token = 0; ///< 0: nobody waits for it any more, it only tests a searcher
         std::size_t part = 0;
-        searcher_ptr target;
+        known_searcher_ptr target;
         std::string route;
         time_point sent{};
         duration usual{};
--- a/src/skylarkseam/gateway/knowledge.hpp
+++ b/src/skylarkseam/gateway/knowledge.hpp
@@ -2,8 +2,8 @@
 // another gateway. Of each object the highest revision wins, so that no source can take knowledge back.
 #pragma once
 
+#include <skylarkseam/gateway/known_searcher.hpp>
 #include <skylarkseam/gateway/routing.hpp>
-#include <skylarkseam/gateway/searcher.hpp>
 #include <skylarkseam/gateway/store_kind.hpp>
 
 #include <map>
--- a/src/skylarkseam/gateway/searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -1,5 +1,5 @@
 #include <skylarkseam/core/name_table.hpp>
-#include <skylarkseam/gateway/searcher.hpp>
+#include <skylarkseam/gateway/known_searcher.hpp>
 
 namespace skylarkseam {
 namespace {
@@ -31,14 +31,14 @@
     return fault_names.name_of(fault);
 }
 
-void searcher::on_sent(attempt_id id, time_point now, duration usual) {
+void known_searcher::on_sent(attempt_id id, time_point now, duration usual) {
     open.push_back({id, now, usual});
     if (fault != searcher_fault::none) {
         probe_at = now + probe_pause;
     }
 }
 
-bool searcher::on_ended(attempt_id id) {
+bool known_searcher::on_ended(attempt_id id) {
     const auto it = std::find_if(open.begin(), open.end(), [id](const auto& one) { return one.id == id; });
     if (it == open.end()) {
         return false;
@@ -47,7 +47,7 @@
     return true;
 }
 
-void searcher::on_answer(duration latency, duration usual, time_point now) {
+void known_searcher::on_answer(duration latency, duration usual, time_point now) {
     const double ratio = static_cast<double>(std::max(latency, microseconds(100)).count()) /
                          static_cast<double>(std::max(usual, microseconds(500)).count());
     if (now - last_ended > memory) {
@@ -64,13 +64,13 @@
     probe_pause = duration::zero();
 }
 
-void searcher::on_refused(time_point now) {
+void known_searcher::on_refused(time_point now) {
     failure_share += failure_gain * (1.0 - failure_share);
     last_answer = now;
     last_ended = now;
 }
 
-void searcher::on_failure(searcher_fault kind, time_point now) {
+void known_searcher::on_failure(searcher_fault kind, time_point now) {
     failure_share += failure_gain * (1.0 - failure_share);
     last_ended = now;
     ++failures_in_row;
@@ -82,7 +82,7 @@
     probe_at = now + probe_pause;
 }
 
-bool searcher::stalled(time_point now, duration round_trip) const {
+bool known_searcher::stalled(time_point now, duration round_trip) const {
     if (open.empty()) {
         return false;
     }
--- a/src/skylarkseam/gateway/searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -36,7 +36,7 @@
 [[nodiscard]] std::string_view name_of(searcher_fault fault);
 
 /// Invariant: `open` holds the attempts that were sent and have not ended, oldest first.
-struct searcher {
+struct known_searcher {
     struct open_attempt {
         attempt_id id = 0;
         time_point sent{};
--- a/src/skylarkseam/gateway/latency_estimate.cpp
+++ b/src/skylarkseam/gateway/latency_estimate.cpp
@@ -34,7 +34,7 @@
     it->second = std::min(connect_time, it->second + it->second * drift_percent / 100);
 }
 
-duration round_trips::to(const searcher& it) const {
+duration round_trips::to(const known_searcher& it) const {
     const auto known = shortest_.find(it.record.zone);
     if (known != shortest_.end()) {
         return known->second;
--- a/src/skylarkseam/gateway/latency_estimate.hpp
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -1,7 +1,7 @@
 // What a request of one route usually takes at a searcher, and how far away each zone is.
 #pragma once
 
-#include <skylarkseam/gateway/searcher.hpp>
+#include <skylarkseam/gateway/known_searcher.hpp>
 
 #include <map>
 #include <string>
@@ -23,7 +23,7 @@
 class round_trips {
 public:
     void add(const std::string& zone, duration connect_time);
-    [[nodiscard]] duration to(const searcher& it) const;
+    [[nodiscard]] duration to(const known_searcher& it) const;
 
 private:
     std::map<std::string, duration> shortest_;
--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -35,9 +35,11 @@
             note(it.who, now - it.age);
         }
     }
-    for (const auto& [zone, hosts] : view.hosts_of_zone) {
-        if (zone != self_.zone) {
-            zones_[zone] = {hosts, now};
+    for (const auto& [zone, counted] : view.hosts_of_zone) {
+        const auto when = now - counted.age;
+        auto& known = zones_[zone];
+        if (zone != self_.zone && when > known.heard) {
+            known = {counted.hosts, when};
         }
     }
     if (view.leaving) {
@@ -156,29 +158,37 @@
         }
     }
     for (const auto& [other, it] : zones_) {
-        view.hosts_of_zone[other] = it.hosts;
+        if (other != self_.zone) {
+            view.hosts_of_zone[other] = {it.hosts, now - it.heard};
+        }
     }
-    std::uint32_t own = 1;
-    for (const auto& [name, it] : members_) {
-        own += it.who.zone == self_.zone ? 1 : 0;
+    if (leads(now)) {
+        view.hosts_of_zone[self_.zone] = {hosts_here(), {}};
     }
-    view.hosts_of_zone[self_.zone] = own;
     return view;
 }
 
-std::uint32_t peer_group::hosts(time_point now) const {
-    const auto view = view_for(self_.zone, now);
-    std::map<std::string, std::uint32_t> counted;
+std::uint32_t peer_group::hosts_here() const {
+    std::uint32_t n = 1;
     for (const auto& [name, it] : members_) {
-        ++counted[it.who.zone];
+        n += it.who.zone == self_.zone ? 1 : 0;
     }
-    std::uint32_t total = 0;
-    for (const auto& [zone, hosts] : view.hosts_of_zone) {
-        total += std::max(hosts, counted[zone]);
-        counted.erase(zone);
+    return n;
+}
+
+std::uint32_t peer_group::hosts() const {
+    // A zone whose watching gateway has not been heard of counts with those that are known one by one.
+    std::map<std::string, std::uint32_t> by_zone;
+    for (const auto& [name, it] : members_) {
+        ++by_zone[it.who.zone];
     }
-    for (const auto& [zone, hosts] : counted) {
-        total += hosts;
+    for (const auto& [zone, it] : zones_) {
+        by_zone[zone] = std::max(by_zone[zone], it.hosts);
+    }
+    by_zone[self_.zone] = hosts_here();
+    std::uint32_t total = 0;
+    for (const auto& [zone, n] : by_zone) {
+        total += n;
     }
     return total;
 }
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -28,12 +28,18 @@
     duration age{}; ///< since it was last heard directly
 };
 
+/// How many gateways a zone has, as its watching one counted them.
+struct zone_hosts {
+    std::uint32_t hosts = 0;
+    duration age{}; ///< since they were counted
+};
+
 /// What gateways tell each other of the group with every message.
 struct group_view {
     gateway_identity sender;
     bool leaving = false;
     std::vector<gateway_sighting> members; ///< of the receiver's zone, and the first one of each other zone
-    std::map<std::string, std::uint32_t> hosts_of_zone;
+    std::map<std::string, zone_hosts> hosts_of_zone;
 };
 
 struct peer_timing {
@@ -75,7 +81,8 @@
     /// Whether this gateway watches the store for its zone.
     [[nodiscard]] bool leads(time_point now) const;
     [[nodiscard]] group_view view_for(const std::string& zone, time_point now) const;
-    [[nodiscard]] std::uint32_t hosts(time_point now) const;
+    /// Gateways of the whole deployment, as far as they are known.
+    [[nodiscard]] std::uint32_t hosts() const;
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
     [[nodiscard]] std::string followed() const { return follow_open_ ? follow_address_ : std::string(); }
     void set_leaving() { leaving_ = true; }
@@ -87,6 +94,7 @@
         time_point shunned_until{};
     };
 
+    [[nodiscard]] std::uint32_t hosts_here() const;
     void note(const gateway_identity& who, time_point heard);
     void merge(const group_view& view, time_point now);
     [[nodiscard]] const member* first_of_zone(const std::string& zone, time_point now) const;
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -19,11 +19,11 @@
     return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
 }
 
-bool contains(std::span<const searcher* const> list, const searcher* one) {
+bool contains(std::span<const known_searcher* const> list, const known_searcher* one) {
     return std::find(list.begin(), list.end(), one) != list.end();
 }
 
-double effective_slowness(const searcher& it, time_point now) {
+double effective_slowness(const known_searcher& it, time_point now) {
     const bool cold = now < it.cold_until;
     const bool forgotten = it.open.empty() && now - it.last_ended > memory;
     const double slowness = forgotten ? 1.0 : it.slowness;
@@ -40,7 +40,7 @@
     return std::max(1U, static_cast<std::uint32_t>(part));
 }
 
-duration placement::expected(const searcher& it, const placement_request& request) const {
+duration placement::expected(const known_searcher& it, const placement_request& request) const {
     const auto trip = trips_.to(it);
     const double slots = std::max(1U, it.record.slots);
     const double queue = 1.0 + queue_weight * static_cast<double>(it.open.size()) / slots;
--- a/src/skylarkseam/gateway/placement.hpp
+++ b/src/skylarkseam/gateway/placement.hpp
@@ -15,10 +15,10 @@
 /// What one choice depends on besides the searchers themselves.
 struct placement_request {
     const gateway_service* service = nullptr;
-    std::span<const std::string> home_regions; ///< empty: any
-    std::span<const searcher* const> tried;    ///< not to be picked again
-    duration usual{};                          ///< latency of such a request
-    std::uint32_t hosts = 1;                   ///< that share the searcher's connections
+    std::span<const std::string> home_regions;    ///< empty: any
+    std::span<const known_searcher* const> tried; ///< not to be picked again
+    duration usual{};                             ///< latency of such a request
+    std::uint32_t hosts = 1;                      ///< that share the searcher's connections
     time_point now{};
 };
 
@@ -31,7 +31,7 @@
 
 struct placement_choice {
     placement_outcome outcome = placement_outcome::none;
-    searcher_ptr target;
+    known_searcher_ptr target;
     duration expected{}; ///< until its answer is here
     bool probe = false;  ///< it has a fault, and this request finds out whether it is over
 };
@@ -46,7 +46,7 @@
     [[nodiscard]] placement_choice pick(const placement_request& request);
 
     /// When the answer of `it` is expected for a request that is sent now.
-    [[nodiscard]] duration expected(const searcher& it, const placement_request& request) const;
+    [[nodiscard]] duration expected(const known_searcher& it, const placement_request& request) const;
 
     /// Requests that this host may have open at a searcher.
     [[nodiscard]] static std::uint32_t connection_share(const gateway_service* service, std::uint32_t hosts);
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -21,7 +21,7 @@
 struct request_part {
     struct open_attempt {
         attempt_id id = 0;
-        searcher_ptr target;
+        known_searcher_ptr target;
         time_point sent{};
         time_point again_at{}; ///< when a second attempt becomes worth it
     };
@@ -29,7 +29,7 @@
     std::string service;
     part_state state = part_state::waiting;
     std::vector<open_attempt> open;
-    std::vector<const searcher*> tried;                  ///< that an attempt reached or may have reached
+    std::vector<const known_searcher*> tried;            ///< that an attempt reached or may have reached
     std::uint32_t unsent = 0;                            ///< attempts whose connection failed
     bool may_have_run = false;                           ///< an attempt was sent that nobody says has not run
     bool probing = false;                                ///< its only attempt is at a searcher with a fault
--- a/src/skylarkseam/gateway/settings.hpp
+++ b/src/skylarkseam/gateway/settings.hpp
@@ -17,7 +17,7 @@
     double extra_slack = 0.0; ///< extra attempts besides, in each window, over all hosts
     duration extra_window = seconds(10);
     duration stop_grace = seconds(6); ///< from SIGTERM until the process is ended
-    bool first_start = false;          ///< the whole deployment starts for the first time, before any client
+    bool first_start = false;         ///< the whole deployment starts for the first time, before any client
     std::uint32_t least_hosts = 8; ///< hosts that connections and budgets are shared by, until more are known
 };
 
--- a/src/skylarkseam/gateway/store_follower.hpp
+++ b/src/skylarkseam/gateway/store_follower.hpp
@@ -3,8 +3,8 @@
 // is.
 #pragma once
 
+#include <skylarkseam/gateway/known_searcher.hpp>
 #include <skylarkseam/gateway/routing.hpp>
-#include <skylarkseam/gateway/searcher.hpp>
 #include <skylarkseam/gateway/store_kind.hpp>
 
 #include <pcg_random.hpp>
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -84,7 +84,7 @@
         log_event(log_level::info, watch ? "watching_store" : "following",
                   {{"peer", group_->followed()}, {"routing_version", known_.routing().version}});
     }
-    const auto hosts = group_->hosts(now);
+    const auto hosts = group_->hosts();
     if (hosts != hosts_) {
         hosts_ = hosts;
         handlers_.on_hosts(hosts);
--- a/src/skylarkseam/wire/gateway_codec.cpp
+++ b/src/skylarkseam/wire/gateway_codec.cpp
@@ -7,6 +7,7 @@
 constexpr std::uint32_t view_fields = 4;
 constexpr std::uint32_t identity_fields = 3;
 constexpr std::uint32_t sighting_fields = 2;
+constexpr std::uint32_t zone_fields = 3;
 constexpr std::uint32_t position_fields = 3;
 constexpr std::uint32_t request_fields = 3;
 constexpr std::uint32_t reply_fields = 2;
@@ -41,7 +42,13 @@
         pack(to, member.who);
         to.pack(member.age.count());
     }
-    to.pack(it.hosts_of_zone);
+    to.pack_array(static_cast<std::uint32_t>(it.hosts_of_zone.size()));
+    for (const auto& [zone, counted] : it.hosts_of_zone) {
+        to.pack_array(zone_fields);
+        to.pack(zone);
+        to.pack(counted.hosts);
+        to.pack(counted.age.count());
+    }
 }
 
 group_view read_view(const msgpack::object& from) {
@@ -57,7 +64,14 @@
         seen.age = reader.next_duration();
         return seen;
     });
-    fields.read_into(it.hosts_of_zone);
+    const auto zones = read_list(fields.next_object(), zone_fields, [](field_reader& reader) {
+        std::pair<std::string, zone_hosts> zone;
+        reader.read_into(zone.first);
+        reader.read_into(zone.second.hosts);
+        zone.second.age = reader.next_duration();
+        return zone;
+    });
+    it.hosts_of_zone.insert(zones.begin(), zones.end());
     return it;
 }
 
--- a/src/skylarkseam/wire/gateway_codec.hpp
+++ b/src/skylarkseam/wire/gateway_codec.hpp
@@ -10,7 +10,8 @@
 
 namespace skylarkseam {
 
-/// Asks a gateway for what it knows beyond `position`; the answer may be held for `wait` while there is nothing.
+/// Asks a gateway for what it knows beyond `position`; the answer may be held for `wait` while there is
+/// nothing.
 struct follow_request {
     group_view view;
     knowledge_position position;
--- /dev/null
+++ b/tests/gateway/following_test.cpp
@@ -0,0 +1,316 @@
+// How gateways learn what the store holds: from the store, through its troubles, and from each other.
+#include <skylarkseam/gateway/directory.hpp>
+#include <skylarkseam/gateway/knowledge.hpp>
+#include <skylarkseam/gateway/peer_group.hpp>
+#include <skylarkseam/gateway/store_follower.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace skylarkseam;
+
+namespace {
+
+searcher_record record(const std::string& id, std::int64_t started = 1) {
+    return {id, "s", "10.0.0.1:80", "a", 4, false, {}, started};
+}
+
+store_answer page(std::uint64_t revision, const std::vector<std::string>& ids, bool more = false) {
+    store_answer answer;
+    answer.status = store_status::ok;
+    answer.page.revision = revision;
+    answer.page.more = more;
+    for (const auto& id : ids) {
+        answer.page.entries.push_back({id, revision, false, record(id), {}});
+    }
+    return answer;
+}
+
+struct follower_fixture {
+    time_point now{seconds(50)};
+    store_follower follower{{}, 1};
+    std::vector<store_output> events;
+
+    std::optional<store_call> next_call(store_kind kind) {
+        std::vector<store_call> calls;
+        follower.take_calls(now, calls);
+        pending.insert(pending.end(), calls.begin(), calls.end());
+        for (auto it = pending.begin(); it != pending.end(); ++it) {
+            if (it->kind == kind) {
+                const auto call = *it;
+                pending.erase(it);
+                return call;
+            }
+        }
+        return std::nullopt;
+    }
+    void answer(store_answer it, store_kind kind = store_kind::searchers) {
+        events.clear();
+        follower.take_answer(kind, std::move(it), now, events);
+    }
+    template <typename T>
+    const T* event() const {
+        for (const auto& it : events) {
+            if (const auto* const found = std::get_if<T>(&it)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+    std::vector<store_call> pending;
+};
+
+struct group_fixture {
+    time_point now{seconds(50)};
+    std::map<std::string, std::unique_ptr<peer_group>> nodes; ///< by address
+    std::set<std::string> down;
+
+    void add(const std::string& name, const std::string& zone, const std::vector<std::string>& seeds) {
+        nodes[name] =
+            std::make_unique<peer_group>(gateway_identity{name, zone, name}, seeds, peer_timing{}, true, now);
+    }
+
+    /// Every call is answered within its turn.
+    void run_for(duration time) {
+        for (const auto end = now + time; now < end; now += milliseconds(50)) {
+            for (auto& [name, node] : nodes) {
+                if (!down.contains(name)) {
+                    turn(name, *node);
+                }
+            }
+        }
+    }
+
+    void turn(const std::string& name, peer_group& node) {
+        std::vector<peer_call> calls;
+        node.take_calls(now, calls);
+        for (const auto& it : calls) {
+            const bool reached = nodes.contains(it.address) && !down.contains(it.address);
+            std::optional<group_view> view;
+            if (reached) {
+                auto& other = *nodes.at(it.address);
+                const auto own = node.view_for({}, now);
+                other.take_call(own, now);
+                view = other.view_for(own.sender.zone, now);
+            }
+            node.take_answer(it, view, milliseconds(100), now);
+        }
+        (void)name;
+    }
+
+    std::vector<std::string> watching() {
+        std::vector<std::string> out;
+        for (auto& [name, node] : nodes) {
+            if (!down.contains(name) && node->should_watch(now - milliseconds(100), now)) {
+                out.push_back(name);
+            }
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_store_follower, follower_fixture)
+
+BOOST_AUTO_TEST_CASE(lists_page_by_page_and_watches_from_the_first) {
+    BOOST_TEST(!next_call(store_kind::searchers)->watch);
+    answer(page(100, {"a", "b"}, true));
+    const auto second = next_call(store_kind::searchers);
+    BOOST_TEST(second->after == "b");
+    answer(page(120, {"c"}));
+    const auto* const listed = event<store_event::listed>();
+    BOOST_TEST_REQUIRE(listed != nullptr);
+    BOOST_TEST(listed->names.size() == 3U);
+    BOOST_TEST(listed->revision == 100U);
+    const auto watch = next_call(store_kind::searchers);
+    BOOST_TEST(watch->watch);
+    BOOST_TEST(watch->revision == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_again_where_the_history_is_gone) {
+    next_call(store_kind::searchers);
+    answer(page(100, {"a"}));
+    next_call(store_kind::searchers);
+    store_answer gone;
+    gone.status = store_status::history_gone;
+    answer(gone);
+    BOOST_TEST(!next_call(store_kind::searchers)->watch);
+}
+
+BOOST_AUTO_TEST_CASE(backs_off_from_any_failure) {
+    for (const auto status : {store_status::unavailable, store_status::throttled}) {
+        int calls = 0;
+        for (const auto end = now + seconds(20); now < end; now += milliseconds(10)) {
+            if (next_call(store_kind::searchers)) {
+                ++calls;
+                store_answer failed;
+                failed.status = status;
+                answer(failed);
+            }
+        }
+        // Pauses double up to 1.5 s, and each is jittered between a half and one and a half of that.
+        BOOST_TEST(calls <= 40);
+        BOOST_TEST(calls >= 8);
+    }
+    BOOST_TEST((follower.heard(store_kind::searchers) == std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(tells_that_entries_may_have_lapsed_while_the_store_was_away) {
+    next_call(store_kind::searchers);
+    answer(page(100, {"a"}));
+    next_call(store_kind::searchers);
+    answer({});
+    BOOST_TEST((event<store_event::store_lost>() != nullptr));
+    now += seconds(2);
+    BOOST_TEST(next_call(store_kind::searchers)->watch);
+    auto back = page(130, {"a"});
+    back.page.entries[0].deleted = true;
+    answer(back);
+    BOOST_TEST((event<store_event::store_regained>() != nullptr));
+    BOOST_TEST_REQUIRE((event<store_event::entry_changed>() != nullptr));
+    BOOST_TEST(event<store_event::entry_changed>()->store_was_away);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_from_what_others_told_it_meanwhile) {
+    follower.set_active(false, {}, now);
+    BOOST_TEST((next_call(store_kind::searchers) == std::nullopt));
+    follower.set_active(true, {0, 400, 0}, now);
+    const auto call = next_call(store_kind::searchers);
+    BOOST_TEST(call->watch);
+    BOOST_TEST(call->revision == 400U);
+    BOOST_TEST(!next_call(store_kind::routing)->watch);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(knowledge_of_the_store)
+
+BOOST_AUTO_TEST_CASE(never_goes_back_whatever_the_source) {
+    knowledge known(1);
+    BOOST_TEST(known.take(registration{"a", 5, record("a"), false}));
+    BOOST_TEST(!known.take(registration{"a", 4, std::nullopt, false}));
+    BOOST_TEST(!known.take(registration{"a", 5, record("a", 2), false}));
+    BOOST_TEST(known.take(registration{"a", 6, std::nullopt, false}));
+    BOOST_TEST(known.searchers() == 0U);
+    BOOST_TEST(!known.take(registration{"a", 5, record("a"), false}));
+    BOOST_TEST(known.take(registration{"a", 7, record("a"), false}));
+    BOOST_TEST(known.take(routing_source{3, "x"}));
+    BOOST_TEST(!known.take(routing_source{2, "y"}));
+    BOOST_TEST(known.routing().text == "x");
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_what_a_reader_lacks_and_no_more) {
+    knowledge known(9);
+    known.take(registration{"a", 5, record("a"), false});
+    known.take(routing_source{3, "x"});
+    const auto first = known.update_since({}, time_point(seconds(1)));
+    BOOST_TEST(first.whole);
+    BOOST_TEST(first.registrations.size() == 1U);
+    BOOST_TEST(first.routing.has_value());
+    knowledge_position at{first.epoch, first.sequence, first.routing->version};
+    BOOST_TEST(known.update_since(at, time_point(seconds(1))).empty());
+    known.take(registration{"b", 6, record("b"), false});
+    known.take(evacuation{"z", 7, true});
+    const auto second = known.update_since(at, time_point(seconds(1)));
+    BOOST_TEST(!second.whole);
+    BOOST_TEST(second.registrations.size() == 1U);
+    BOOST_TEST(second.evacuations.size() == 1U);
+    BOOST_TEST(known.evacuated_zones().count("z") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(drops_what_a_newer_listing_does_not_name) {
+    knowledge known(1);
+    known.take(registration{"old", 5, record("old"), false});
+    known.take(registration{"new", 50, record("new"), false});
+    const auto gone = known.retain_searchers({}, 40, false);
+    BOOST_TEST_REQUIRE(gone.size() == 1U);
+    BOOST_TEST(gone[0].id == "old");
+    BOOST_TEST(known.searchers() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_group_of_gateways, group_fixture)
+
+BOOST_AUTO_TEST_CASE(has_one_watching_gateway_in_each_zone) {
+    for (const auto* const zone : {"a", "b", "c"}) {
+        for (int n = 0; n < 5; ++n) {
+            add(std::string(zone) + std::to_string(n), zone, {"a0", "b1", "gone"});
+        }
+    }
+    run_for(seconds(4));
+    const std::vector<std::string> expected{"a0", "b0", "c0"};
+    BOOST_TEST(watching() == expected, boost::test_tools::per_element());
+    for (auto& [name, node] : nodes) {
+        BOOST_TEST(node->hosts() == 15U, name);
+    }
+
+    // When a watching one goes, another one of its zone takes over, and it is counted out.
+    down.insert("b0");
+    run_for(seconds(1));
+    const std::vector<std::string> next{"a0", "b1", "c0"};
+    BOOST_TEST(watching() == next, boost::test_tools::per_element());
+    run_for(seconds(12));
+    BOOST_TEST(nodes.at("a0")->hosts() == 14U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_needed_for_a_gateway_alone) {
+    add("a0", "a", {"gone", "lost"});
+    run_for(milliseconds(600));
+    BOOST_TEST(watching().empty());
+    run_for(milliseconds(300));
+    BOOST_TEST(watching().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lets_a_gateway_watch_whose_knowledge_is_stale) {
+    add("a0", "a", {"a0"});
+    add("a1", "a", {"a0"});
+    run_for(seconds(3));
+    BOOST_TEST(!nodes.at("a1")->should_watch(now, now));
+    BOOST_TEST(nodes.at("a1")->should_watch(now - seconds(5), now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_directory)
+
+struct directory_fixture {
+    time_point now{seconds(50)};
+    directory known{{"a", "north", {{"a", "north"}, {"b", "south"}}}, {}, [](auto&&...) {}};
+};
+
+BOOST_FIXTURE_TEST_CASE(keeps_a_lapsed_searcher_in_use_until_the_store_has_settled, directory_fixture) {
+    known.put(record("x"), now);
+    known.remove("x", true, now);
+    BOOST_TEST(!known.of_service("s").at(0)->leaving.has_value());
+    now += milliseconds(2100);
+    known.expire(now);
+    known.put(record("x"), now);
+    BOOST_TEST(known.of_service("s").size() == 1U);
+    now += seconds(3);
+    known.expire(now);
+    BOOST_TEST(known.of_service("s").size() == 1U);
+    known.remove("x", true, now);
+    now += milliseconds(2400);
+    known.expire(now);
+    BOOST_TEST(known.of_service("s").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_a_searcher_that_started_again_for_another_one, directory_fixture) {
+    known.put(record("x", 1), now);
+    const auto first = known.of_service("s").at(0);
+    first->fault = searcher_fault::silent;
+    known.put(record("x", 2), now);
+    BOOST_TEST((known.of_service("s").at(0) != first));
+    BOOST_TEST((known.of_service("s").at(0)->fault == searcher_fault::none));
+}
+
+BOOST_FIXTURE_TEST_CASE(gives_a_draining_searcher_nothing_after_its_grace, directory_fixture) {
+    auto it = record("x");
+    it.draining = true;
+    known.put(it, now);
+    BOOST_TEST(!known.drained(*known.of_service("s").at(0), now));
+    BOOST_TEST(known.drained(*known.of_service("s").at(0), now + milliseconds(2500)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/parts_test.cpp
@@ -0,0 +1,140 @@
+// The small parts of a gateway's decisions: routes, merging, shares of a budget, splits and the waiting
+// order.
+#include <skylarkseam/gateway/extra_budget.hpp>
+#include <skylarkseam/gateway/record_merge.hpp>
+#include <skylarkseam/gateway/routing.hpp>
+#include <skylarkseam/gateway/traffic_split.hpp>
+#include <skylarkseam/gateway/wait_list.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <pcg_random.hpp>
+
+using namespace skylarkseam;
+
+namespace {
+
+gateway_route route_at(const std::string& host, const std::string& prefix) {
+    gateway_route route;
+    route.name = host + prefix;
+    route.host = host;
+    route.prefix = prefix;
+    route.plan = single_service{"s"};
+    return route;
+}
+
+std::string record(char first) {
+    return first + std::string(15, 'x');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_route)
+
+BOOST_AUTO_TEST_CASE(is_the_one_with_the_longest_prefix_of_its_host) {
+    routing_table table;
+    table.routes = {route_at("a", "/"), route_at("a", "/x/"), route_at("a", "/x/y/"),
+                    route_at("b", "/x/y/z/")};
+    BOOST_TEST(find_route(table, "a", "/x/y/z/")->name == "a/x/y/");
+    BOOST_TEST(find_route(table, "A:8080", "/x/q")->name == "a/x/");
+    BOOST_TEST(find_route(table, "a", "/x")->name == "a/");
+    BOOST_TEST((find_route(table, "c", "/x/") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(merged_records)
+
+BOOST_AUTO_TEST_CASE(are_the_greatest_in_byte_order_with_equal_ones_kept) {
+    const auto high = record('\xff');
+    const auto one = record('b') + record('a') + "rest";
+    const auto two = record('b') + high;
+    const std::vector<std::string_view> parts{one, two, "short"};
+    BOOST_TEST(greatest_records(parts, 3) == high + record('b') + record('b'));
+    BOOST_TEST(greatest_records(parts, 9) == high + record('b') + record('b') + record('a'));
+    BOOST_TEST(greatest_records({}, 3).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_shares_of_a_budget)
+
+BOOST_AUTO_TEST_CASE(stay_within_it_in_every_window_whoever_sees_whom) {
+    constexpr std::uint32_t hosts = 8;
+    const extra_budget_limits limits{0.2, 56.0, seconds(10)};
+    std::vector<extra_budget> shares(hosts);
+    std::vector<std::int64_t> requests;
+    std::vector<std::int64_t> extra;
+    pcg32 random(3);
+    // Requests come in waves, and every host sends as many extra ones as it may.
+    for (std::int64_t ms = 0; ms < 60'000; ms += 5) {
+        const time_point now{milliseconds(1'000'000 + ms)};
+        const bool busy = (ms / 7000) % 2 == 0;
+        auto& it = shares[random(hosts)];
+        if (busy) {
+            it.on_request(now);
+            requests.push_back(ms);
+        }
+        while (it.try_spend(limits, hosts, now)) {
+            extra.push_back(ms);
+        }
+    }
+    const auto in_window = [](const std::vector<std::int64_t>& times, std::int64_t from) {
+        return std::count_if(times.begin(), times.end(),
+                             [from](std::int64_t it) { return it >= from && it < from + 10'000; });
+    };
+    for (std::int64_t from = 0; from <= 50'000; from += 250) {
+        const auto before = in_window(requests, std::max<std::int64_t>(0, from - 5000));
+        const auto owed = std::max({in_window(requests, from), before, in_window(requests, from - 10'000)});
+        BOOST_TEST(static_cast<double>(in_window(extra, from)) <= 0.2 * static_cast<double>(owed) + 56.0);
+    }
+    BOOST_TEST(extra.size() > 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_traffic_split)
+
+BOOST_AUTO_TEST_CASE(keeps_the_weights_over_every_short_run) {
+    const weighted_split plan{{{"a", 70.0}, {"b", 25.0}, {"c", 5.0}}};
+    traffic_split split;
+    std::vector<int> counts(3);
+    for (int n = 0; n < 300; ++n) {
+        ++counts[split.next(plan, 0.3)];
+    }
+    BOOST_TEST(std::abs(counts[0] / 300.0 - 0.70) < 0.02);
+    BOOST_TEST(std::abs(counts[1] / 300.0 - 0.25) < 0.02);
+    BOOST_TEST(std::abs(counts[2] / 300.0 - 0.05) < 0.02);
+}
+
+BOOST_AUTO_TEST_CASE(begins_elsewhere_on_each_host) {
+    const weighted_split plan{{{"a", 1.0}, {"b", 1.0}}};
+    std::vector<int> first(2);
+    for (int host = 0; host < 40; ++host) {
+        traffic_split split;
+        ++first[split.next(plan, host / 40.0)];
+    }
+    BOOST_TEST(first[0] >= 15);
+    BOOST_TEST(first[1] >= 15);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(what_waits_for_room)
+
+BOOST_AUTO_TEST_CASE(goes_by_urgency_and_nobody_starves) {
+    wait_list list;
+    for (request_token n = 1; n <= 400; ++n) {
+        const auto urgent = n % 2 == 0;
+        list.add({n, 0, urgent ? 0U : 2U, time_point(milliseconds(n)), time_point(milliseconds(500 + n))});
+    }
+    int urgent = 0;
+    for (int n = 0; n < 100; ++n) {
+        urgent += list.take().priority == 0 ? 1 : 0;
+    }
+    BOOST_TEST(urgent >= 75);
+    BOOST_TEST(urgent < 100);
+    list.remove(3);
+    BOOST_TEST(list.size() <= 300U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/store_codec_test.cpp
@@ -0,0 +1,176 @@
+// What the platform's store sends, decoded: whole objects, objects of other writers, and bytes of any kind.
+#include <boost/test/unit_test.hpp>
+#include <pcg_random.hpp>
+
+#include <platform/store_codec.hpp>
+
+using namespace skylarkseam;
+
+namespace {
+
+const std::string entry =
+    R"({"meta":{"Name":"i-1","Revision":7,"Created":1,"Finalizers":[],"Deleting":false},)"
+    R"("spec":{"Service":"s1","Address":"10.0.0.1:80","Zone":"a","Version":"v1","Slots":4,)"
+    R"("State":"ready","WarmupLeftMs":250,"Sequence":3,"born":1700000000123},"status":null})";
+
+const std::string table =
+    R"({"Version":7,"Routes":[)"
+    R"({"Name":"r1","Host":"Search.Example","PathPrefix":"/a/","Kind":"safe","TimeoutMs":2500,"TargetLatencyMs":250,)"
+    R"("Priority":1,"FanoutServices":["s1","s2"],"MaxAttempts":2,"ResultLimit":50,"MinimumShare":0.89,"HomeRegions":[]},)"
+    R"({"Name":"r2","Host":"b","PathPrefix":"/","Kind":"unsafe","TimeoutMs":8000,"TargetLatencyMs":800,"Priority":2,)"
+    R"("TrafficSplit":[{"Service":"s1","Weight":3},{"Service":"s2","Weight":0}],"MaxAttempts":1,"HomeRegions":["north"]},)"
+    R"({"Name":"r3","Host":"c","PathPrefix":"/c/","Kind":"safe","TimeoutMs":"soon"}],)"
+    R"("Services":[{"Name":"s1","HealthPath":"/h","MaxConnections":36,"Protocol":"h1","Tls":false,"WarmupS":3.0,"WarmupPerS":0.0},)"
+    R"({"Name":"s2","MaxConnections":110}],)"
+    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+store_call listing(store_kind kind) {
+    store_call call;
+    call.kind = kind;
+    return call;
+}
+
+store_answer read(const store_call& call, const std::string& body) {
+    return platform::read_answer(call, 200, body, {});
+}
+
+std::string page_of(const std::string& items) {
+    return R"({"items":[)" + items + R"(],"HasMore":false,"AsOf":530})";
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    const auto at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_stores_answers)
+
+BOOST_AUTO_TEST_CASE(name_the_call_in_the_path) {
+    auto call = listing(store_kind::searchers);
+    BOOST_TEST(platform::target_of(call) == "/api/objects/servers");
+    call.after = "i-9";
+    BOOST_TEST(platform::target_of(call) == "/api/objects/servers?after=i-9");
+    call.watch = true;
+    call.revision = 530;
+    call.wait = milliseconds(2000);
+    BOOST_TEST(platform::target_of(call) == "/api/objects/servers?Watch=530&WaitMs=2000");
+}
+
+BOOST_AUTO_TEST_SUITE(of_a_searcher)
+
+BOOST_AUTO_TEST_CASE(hold_all_that_it_says_of_itself) {
+    const auto answer = read(listing(store_kind::searchers), page_of(entry));
+    BOOST_TEST((answer.status == store_status::ok));
+    BOOST_TEST(answer.page.revision == 530U);
+    BOOST_TEST_REQUIRE(answer.page.entries.size() == 1U);
+    const auto& read_entry = answer.page.entries[0];
+    BOOST_TEST(read_entry.revision == 7U);
+    const auto* const record = std::get_if<searcher_record>(&read_entry.value);
+    BOOST_TEST_REQUIRE(record != nullptr);
+    BOOST_TEST(record->id == "i-1");
+    BOOST_TEST(record->address == "10.0.0.1:80");
+    BOOST_TEST(record->slots == 4U);
+    BOOST_TEST((record->cold_for == milliseconds(250)));
+    BOOST_TEST(record->started_at == 1700000000123);
+    BOOST_TEST(!record->draining);
+}
+
+BOOST_AUTO_TEST_CASE(of_another_writer_name_no_searcher_and_harm_no_other) {
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {R"("Slots":4)", R"("Slots":"4")"},
+             {R"("State":"ready")", R"("State":"resting")"},
+             {R"("Service":"s1",)", ""},
+             {R"("born":1700000000123)", R"("born":1.5)"},
+             {R"("10.0.0.1:80")", R"("somewhere")"},
+             {R"("Sequence":3)", R"("Sequence":null)"},
+         }) {
+        const auto other = replaced(entry, from, to);
+        const auto answer = read(listing(store_kind::searchers), page_of(other + "," + entry));
+        BOOST_TEST_REQUIRE(answer.page.entries.size() == 2U);
+        const auto* const fault = std::get_if<unreadable_entry>(&answer.page.entries[0].value);
+        BOOST_TEST_REQUIRE(fault != nullptr, to);
+        BOOST_TEST(!fault->fault.empty());
+        BOOST_TEST(std::holds_alternative<searcher_record>(answer.page.entries[1].value));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(say_when_it_is_gone) {
+    store_call call = listing(store_kind::searchers);
+    call.watch = true;
+    const auto body = R"({"events":[{"Deleted":true,"Object":)" + entry + R"(}],"AsOf":540})";
+    const auto answer = read(call, body);
+    BOOST_TEST_REQUIRE(answer.page.entries.size() == 1U);
+    BOOST_TEST(answer.page.entries[0].deleted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_the_configuration)
+
+BOOST_AUTO_TEST_CASE(become_a_routing_table) {
+    const auto value = platform::read_routing(table);
+    const auto* const read = std::get_if<std::shared_ptr<const routing_table>>(&value);
+    BOOST_TEST_REQUIRE(read != nullptr);
+    const auto& it = **read;
+    BOOST_TEST(it.version == 7U);
+    BOOST_TEST_REQUIRE(it.routes.size() == 2U);
+    BOOST_TEST(it.routes[0].host == "search.example");
+    BOOST_TEST((it.routes[0].repeat == repeatability::idempotent));
+    const auto* const shards = std::get_if<shard_set>(&it.routes[0].plan);
+    BOOST_TEST_REQUIRE(shards != nullptr);
+    BOOST_TEST(shards->services.size() == 2U);
+    BOOST_TEST(shards->result_limit == 50U);
+    const auto* const split = std::get_if<weighted_split>(&it.routes[1].plan);
+    BOOST_TEST_REQUIRE(split != nullptr);
+    BOOST_TEST(split->parts.size() == 1U);
+    BOOST_TEST((it.routes[1].repeat == repeatability::at_most_once));
+    BOOST_TEST(it.routes[1].home_regions.at(0) == "north");
+    BOOST_TEST(it.services.at("s1").max_connections == 36U);
+    BOOST_TEST(it.limits.body_bytes == 262144U);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_version_are_no_table) {
+    const auto value = platform::read_routing(replaced(table, R"("Version":7,)", ""));
+    BOOST_TEST(std::holds_alternative<unreadable_entry>(value));
+    BOOST_TEST(std::holds_alternative<unreadable_entry>(platform::read_routing("no json")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_are_no_answers)
+
+BOOST_AUTO_TEST_CASE(count_by_their_status) {
+    const auto call = listing(store_kind::routing);
+    BOOST_TEST((platform::read_answer(call, 0, {}, "reset").status == store_status::unavailable));
+    BOOST_TEST((platform::read_answer(call, 503, {}, {}).status == store_status::unavailable));
+    BOOST_TEST((platform::read_answer(call, 429, {}, {}).status == store_status::throttled));
+    BOOST_TEST((platform::read_answer(call, 410, {}, {}).status == store_status::history_gone));
+    BOOST_TEST((read(call, "{}").status == store_status::unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(of_any_bytes_do_no_harm) {
+    pcg32 random(7);
+    for (int n = 0; n < 3000; ++n) {
+        auto body = n % 2 == 0 ? page_of(entry) : page_of(R"({"meta":{"Name":"main"},"spec":)" + table + "}");
+        for (int change = 0; change < 3; ++change) {
+            const auto at = random(static_cast<std::uint32_t>(body.size()));
+            if (random(2) == 0) {
+                body[at] = static_cast<char>(random(256));
+            } else {
+                body.erase(at, random(8));
+            }
+        }
+        const auto kind = n % 2 == 0 ? store_kind::searchers : store_kind::routing;
+        const auto answer = read(listing(kind), body);
+        for (const auto& it : answer.page.entries) {
+            BOOST_TEST(!it.name.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
