--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -19,13 +19,16 @@
     http_limits limits{64, 4096, 64, 4};
     std::map<std::string, respond> held; ///< requests to /held, answered by the test
     http_server server{
-        loop, limits, [this](const incoming_request& request, const respond& answer) {
+        loop, limits,
+        [this](const incoming_request& request, const respond& answer) {
             if (request.path == "/held") {
                 held[request.argument("name")] = answer;
                 return;
             }
             answer({200, request.method + request.body + request.header("x-caller"), "text/plain", {}});
-        }};
+        },
+        [this](std::uint64_t id) { gone.push_back(id); }};
+    std::vector<std::uint64_t> gone; ///< requests whose clients left
     std::string address = server.listen("127.0.0.1:0");
     http_client client{loop};
 
@@ -140,6 +143,33 @@
     BOOST_TEST(server.open_requests() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_before_its_answer_is_noticed_once) {
+    const auto id = client.send(get_held("left"), [](const http_response&) {});
+    BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
+    run_turns(150);
+    BOOST_TEST(gone.empty());
+    client.abort(id);
+    BOOST_REQUIRE(run_until([&] { return !gone.empty(); }));
+    run_turns(150);
+    BOOST_TEST(gone.size() == 1U);
+    BOOST_REQUIRE(run_until([&] { return server.open_requests() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(the_target_reaches_the_handler_as_the_client_wrote_it) {
+    http_request request;
+    request.url = "/a%2Fb/c?x=%20&y";
+    std::string target;
+    http_server other{loop, limits, [&](const incoming_request& it, const respond& answer) {
+                          target = it.target;
+                          answer({200, "", "", {}});
+                      }};
+    request.url = "http://" + other.listen("127.0.0.1:0") + request.url;
+    bool done = false;
+    client.send(std::move(request), [&](const http_response&) { done = true; });
+    BOOST_REQUIRE(run_until([&] { return done; }));
+    BOOST_TEST(target == "/a%2Fb/c?x=%20&y");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(what_the_client_tells_of_a_failure)
