Hold the limit of an answer's bytes by ourselves

Change: the length is checked as the body grows. Conclusion: a searcher can no longer fill the host's memory.

--- a/src/skylarkseam/shell/upstream_connection.cpp
+++ b/src/skylarkseam/shell/upstream_connection.cpp
@@ -210,6 +210,11 @@
             }
             const auto used = response->put(boost::asio::buffer(in), ec);
             in.erase(0, used);
+            // The parser's own limit does not hold for bodies that are read into a string.
+            if (response->get().body().size() > body_limit) {
+                fail("the answer is longer than " + std::to_string(body_limit) + " bytes");
+                return false;
+            }
             if (ec == http::error::need_more) {
                 return true;
             }
@@ -238,7 +243,7 @@
         response.emplace();
         response->eager(true);
         response->header_limit(header_limit);
-        response->body_limit(body_limit);
+        response->body_limit(boost::none);
         response->skip(request.is_head);
     }
 
