A gateway that starts holds requests until all searchers are known; connections open slowly; a soak of our own

Change: requests wait up to 200 ms until configuration and all registrations are known; attempts open at a searcher begin at two and grow with its answers; parts are placed together, and none is sent where too few can be; soak/ plays faults against real processes and checks the promises from outside.

--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,117 @@
+"""The promises of the gateways, checked from what clients and searchers see."""
+
+import asyncio
+import time
+from collections import defaultdict
+
+import outside
+
+
+class Checks:
+    BUDGET_RATIO, BUDGET_WINDOW = 0.2, 10.0
+
+    def __init__(self, world):
+        self.world = world
+        self.broken = []
+        self.asked = {}  # request id -> (method, target, body, route)
+        self.runs = defaultdict(int)
+        self.refused = set()  # ids that were said not to have run
+        self.arrivals = defaultdict(list)  # (service, id) -> times
+        self.requests = defaultdict(list)  # service -> times
+        self.answers = defaultdict(int)
+        self.latest = {}  # client task -> its last request id
+
+    def fail(self, rule, text):
+        self.broken.append(f"{rule}: {text}")
+
+    def asks(self, request_id, method, target, body, route, client):
+        self.asked[request_id] = (method, target, body, route)
+        self.latest[client] = request_id
+        for service in route["FanoutServices"] or [route["Service"]]:
+            self.requests[service].append(time.monotonic())
+
+    def arrived(self, searcher, request_id, method, target, body):
+        asked = self.asked.get(request_id)
+        if asked is None or asked[:3] != (method, target, body):
+            self.fail("unasked", f"{searcher.name} got {method} {target} as {request_id}")
+            return
+        if searcher.service not in self.world.services_ever[asked[3]["Name"]]:
+            self.fail("route", f"{request_id} of {asked[3]['Name']} reached {searcher.service}")
+        self.arrivals[searcher.service, request_id].append(time.monotonic())
+        since = searcher.draining_since
+        calm = time.monotonic() - self.world.last_trouble() > 6.0
+        if since and calm and time.monotonic() - since > self.world.drain_s:
+            self.fail("drain", f"{request_id} reached {searcher.name} {time.monotonic() - since:.1f} s after")
+
+    def ran(self, searcher, request_id):
+        self.runs[searcher.service, request_id] += 1
+        asked = self.asked.get(request_id)
+        if asked and asked[3]["Kind"] == "unsafe":
+            if self.runs[searcher.service, request_id] > 1:
+                self.fail("twice", request_id)
+            if request_id in self.refused:
+                self.fail("refused", f"{request_id} ran after it was refused")
+
+    def answered(self, request_id, status, headers, body):
+        self.answers[status] += 1
+        route = self.asked[request_id][3]
+        if status in (429, 503) and route["Kind"] == "unsafe":
+            self.refused.add(request_id)
+            if self.runs[route["Service"], request_id]:
+                self.fail("refused", f"{request_id} had run")
+        if status == 503 and float(headers.get("retry-after", 0)) <= 0:
+            self.fail("retry-after", f"{request_id} names no time")
+        if status == 404:
+            self.fail("denied", f"{request_id} on {route['Name']}")
+        if status != 200:
+            return
+        if route["FanoutServices"]:
+            self.merged(request_id, route, headers, body)
+        else:
+            name = headers.get("x-server-stamp", ".").split(".")[0]
+            if body != b"".join(outside.records_of(name, request_id)):
+                self.fail("mixed", f"{request_id}: another body than that of {name}")
+
+    def cut(self, gateway):
+        """A client's connection ended without an answer; a stop alone must not do that to a request passed on."""
+        request_id = self.latest.get(asyncio.current_task())
+        if gateway is None or request_id is None or time.monotonic() - gateway.hurt < 8.0:
+            return
+        route = self.asked[request_id][3]
+        passed_on = [service for service in route["FanoutServices"] or [route["Service"]]
+                     if self.arrivals.get((service, request_id))]
+        if passed_on:
+            self.fail("lost", f"{request_id} was passed on by gateway-{gateway.n} and its connection ended")
+
+    def merged(self, request_id, route, headers, body):
+        proofs = [proof.strip() for proof in headers["x-part-stamps"].split(",")]
+        names = [proof.split(".", 1)[0] for proof in proofs]
+        if any(proof.split(".", 1)[1] != request_id for proof in proofs):
+            self.fail("mixed", f"{request_id}: the proof of another request")
+        services = [self.world.service_of[name] for name in names]
+        missing = int(headers.get("x-missing-parts", 0))
+        sets = self.world.shard_sets[route["Name"]]
+        if len(set(services)) != len(services) or not any(
+                set(services) <= set(one) and len(services) + missing == len(one) for one in sets):
+            self.fail("mixed", f"{request_id}: {services} and {missing} missing make up no set")
+        if len(services) < route["MinimumShare"] * (len(services) + missing) - 1e-9:
+            self.fail("mixed", f"{request_id}: less than the least share")
+        found = sorted((one for name in names for one in outside.records_of(name, request_id)), reverse=True)
+        if body != b"".join(found[: route["ResultLimit"]]):
+            self.fail("mixed", f"{request_id}: not the greatest records")
+
+    def at_end(self):
+        """The budget: arrivals beyond the first of each request, in every window."""
+        extra = defaultdict(list)
+        for (service, _), times in self.arrivals.items():
+            extra[service] += times[1:]
+        for service, times in extra.items():
+            for begin in times:
+                window = [it for it in times if begin <= it < begin + self.BUDGET_WINDOW]
+                owed = max(sum(1 for it in self.requests[service]
+                               if begin - back <= it < begin - back + self.BUDGET_WINDOW)
+                           for back in (0, self.BUDGET_WINDOW / 2, self.BUDGET_WINDOW))
+                allowed = self.BUDGET_RATIO * owed + self.world.budget_slack
+                if len(window) > allowed:
+                    self.fail("budget", f"{service}: {len(window)} extra arrivals, {allowed:.0f} allowed")
+                    break
--- /dev/null
+++ b/soak/outside.py
@@ -0,0 +1,175 @@
+"""What is outside of the gateways: the platform's store and the searchers, with their faults."""
+
+import asyncio
+import hashlib
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+import wire
+
+ZONES = ["a", "b", "c"]
+RECORD = 16
+
+
+class Store:
+    """Objects by kind and name with one revision counter, listings in pages, and watches."""
+
+    PAGE = 20
+    HISTORY = 400
+
+    def __init__(self):
+        self.objects = {"config": {}, "servers": {}, "evacuations": {}}
+        self.revision = 1
+        self.events = []
+        self.oldest = 1
+        self.changed = asyncio.Event()
+        self.mode = "up"  # up, busy, reset, silent
+        self.delay = 0.004
+        self.troubled = -1e9  # when it was last out of order
+        self.calls = 0
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        item = {"meta": {"Name": name, "Revision": self.revision, "Created": 1, "Finalizers": [],
+                         "Deleting": False}, "spec": spec, "status": None}
+        self.objects[kind][name] = item
+        self.note(kind, item, False)
+
+    def delete(self, kind, name):
+        item = self.objects[kind].pop(name, None)
+        if item:
+            self.revision += 1
+            self.note(kind, item, True)
+
+    def note(self, kind, item, deleted):
+        self.events.append((self.revision, kind, {"Deleted": deleted, "Object": json.loads(json.dumps(item))}))
+        while len(self.events) > self.HISTORY:
+            self.oldest = self.events.pop(0)[0]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        self.events.clear()
+        self.oldest = self.revision
+
+    async def handle(self, method, target, headers, body, writer):
+        self.calls += 1
+        if self.mode != "up":
+            self.troubled = time.monotonic()
+        if self.mode == "silent":
+            await asyncio.sleep(60)
+            return False
+        if self.mode == "reset":
+            writer.transport.abort()
+            return False
+        await asyncio.sleep(self.delay)
+        if self.mode == "busy" or method != "GET":
+            writer.write(wire.response(503))
+            return True
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        kind = parts.path.split("/")[3]
+        status, answer = await (self.watch(kind, query) if "Watch" in query else self.list(kind, query))
+        writer.write(wire.response(status, json.dumps(answer).encode(), {"Content-Type": "application/json"}))
+        return True
+
+    async def list(self, kind, query):
+        names = sorted(name for name in self.objects[kind] if name > query.get("after", ""))
+        items = [self.objects[kind][name] for name in names[: self.PAGE]]
+        return 200, {"items": items, "HasMore": len(names) > self.PAGE, "AsOf": self.revision}
+
+    async def watch(self, kind, query):
+        since = int(query["Watch"])
+        end = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
+        while True:
+            if since < self.oldest:
+                return 410, {}
+            found = [event for revision, of, event in self.events if of == kind and revision > since]
+            left = end - time.monotonic()
+            if found or left <= 0:
+                return 200, {"events": found, "AsOf": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+def records_of(instance, request_id, count=8):
+    """The records that a searcher finds for a request."""
+    digest = hashlib.sha256(f"{instance}/{request_id}".encode()).digest()
+    return [hashlib.sha256(digest + bytes([n])).digest()[:RECORD] for n in range(count)]
+
+
+class Searcher:
+    """One searcher: slots, a queue, and faults; it notes every arrival and every run."""
+
+    SLOTS, QUEUE = 4, 24
+
+    def __init__(self, world, service, zone, name):
+        self.world, self.service, self.zone, self.name = world, service, zone, name
+        self.running, self.queued = 0, 0
+        self.slow, self.sheds, self.loses, self.garbles = 1.0, 0.0, 0.0, 0.0
+        self.dark = False
+        self.draining_since = None
+        self.server, self.port = None, 0
+        self.free = asyncio.Semaphore(self.SLOTS)
+
+    async def start(self):
+        self.server = await wire.serve("127.0.0.1", 0, self.handle)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.register("ready")
+
+    def register(self, state):
+        self.world.store.put("servers", self.name, {
+            "Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": self.zone, "Version": "v1",
+            "Slots": self.SLOTS, "State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": 1})
+
+    async def handle(self, method, target, headers, body, writer):
+        random, own = self.world.random, self.name  # a searcher of another service may get the address later
+        request_id = headers.get("x-request-id", "")
+        if headers.get("x-expect-instance") not in (None, self.name):
+            writer.write(wire.response(421, headers={"X-Instance-Id": self.name}))
+            return True
+        while self.dark:
+            await asyncio.sleep(0.2)
+            if writer.is_closing():
+                return False
+        self.world.checks.arrived(self, request_id, method, target, body)
+        if random.random() < self.sheds or self.queued >= self.QUEUE:
+            writer.write(wire.response(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id}))
+            return True
+        self.queued += 1
+        async with self.free:
+            self.queued -= 1
+            self.world.checks.ran(self, request_id)
+            await asyncio.sleep(self.world.work[target.split("/")[1]] * (0.5 + random.random()) * self.slow)
+        answer = wire.response(200, b"".join(records_of(own, request_id)),
+                               {"X-Request-Id": request_id, "X-Server-Stamp": f"{own}.{request_id}"})
+        if random.random() < self.loses:
+            writer.transport.abort()
+            return False
+        if random.random() < self.garbles:
+            how = random.choice(["cut", "extra", "noise", "crossed"])
+            if how == "cut":
+                writer.write(answer[: len(answer) // 2])
+                return False
+            if how == "noise":
+                writer.write(b"\x00\x01 no answer \r\n\r\n")
+                return False
+            if how == "crossed":
+                writer.write(answer.replace(f"X-Request-Id: {request_id}".encode(), b"X-Request-Id: another"))
+                return True
+            writer.write(answer + answer)
+            return True
+        writer.write(answer)
+        return True
+
+    async def leave(self):
+        """Drains, goes on serving for a while, and ends."""
+        self.register("draining")
+        self.draining_since = time.monotonic()
+        await asyncio.sleep(self.world.drain_s + 1.0)
+        self.world.store.delete("servers", self.name)
+        await asyncio.sleep(1.0)
+        self.server.close()
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -13,8 +13,12 @@
 // After what time a refused client may come back, before jitter.
 constexpr duration retry_when_overloaded = milliseconds(150); ///< a few requests' time at a searcher
 constexpr duration retry_when_down = milliseconds(400);       ///< about the pause between two probes
-constexpr duration retry_when_unknown = milliseconds(500);    ///< a listing of the store and a safety margin
-constexpr duration retry_elsewhere = milliseconds(50);        ///< another host answers it
+constexpr duration retry_when_unknown =
+    milliseconds(300); ///< what a listing of the store takes after a start
+
+constexpr duration early_wait = milliseconds(200);     ///< a listing takes about so long from another region
+constexpr std::size_t most_early = 1000;               ///< requests that wait for it
+constexpr duration retry_elsewhere = milliseconds(50); ///< another host answers it
 constexpr std::uint32_t jitter_steps = 64;
 constexpr double least_jitter = 0.75;
 constexpr double jitter_width = 0.75;
@@ -67,6 +71,7 @@
         return false;
     }
     table_ = std::move(table);
+    release_early(now, out);
     on_searchers_changed(now, out);
     return true;
 }
@@ -114,40 +119,77 @@
     return next;
 }
 
+void gateway::set_complete(time_point now, output& out) {
+    complete_ = true;
+    release_early(now, out);
+}
+
+void gateway::release_early(time_point now, output& out) {
+    if (!knows_enough()) {
+        return;
+    }
+    std::vector<early_request> held;
+    held.swap(early_);
+    for (auto& it : held) {
+        // The wait counts against the client's time.
+        if (it.request.time_left) {
+            *it.request.time_left -= std::min(*it.request.time_left, now - it.arrived);
+        }
+        --counters_.requests;
+        arrive(it.request, now, out);
+    }
+}
+
+void gateway::refuse(const gateway_request& request, refusal_reason reason, time_point, output& out) {
+    const bool no_route = reason == refusal_reason::no_route;
+    const gateway_answer::refused refusal{reason, no_route ? status_not_found : status_unavailable,
+                                          no_route ? duration::zero() : jittered(retry_delay(reason))};
+    request_summary summary;
+    summary.id = request.id;
+    summary.config_version = table_->version;
+    summary.detail = std::string(name_of(reason));
+    ++counters_.refused;
+    out.emplace_back(gateway_action::answer{request.token, refusal, std::move(summary)});
+}
+
 void gateway::arrive(const gateway_request& request, time_point now, output& out) {
     ++counters_.requests;
+    if (!knows_enough()) {
+        if (early_.size() >= most_early) {
+            refuse(request, refusal_reason::not_ready, now, out);
+            return;
+        }
+        early_.push_back({request, now});
+        run_timers_.add(now + early_wait, 0);
+        return;
+    }
     const auto* const route = find_route(*table_, request.host, request.path);
     if (route == nullptr) {
-        const bool known = table_->version > 0;
-        const auto reason = known ? refusal_reason::no_route : refusal_reason::not_ready;
-        gateway_answer::refused refusal{reason, known ? status_not_found : status_unavailable,
-                                        known ? duration::zero() : jittered(retry_delay(reason))};
-        request_summary summary;
-        summary.id = request.id;
-        summary.config_version = table_->version;
-        ++counters_.refused;
-        out.emplace_back(gateway_action::answer{request.token, refusal, std::move(summary)});
+        refuse(request, refusal_reason::no_route, now, out);
         return;
     }
+    start_run(request, *route, now, out);
+}
+
+void gateway::start_run(const gateway_request& request, const gateway_route& route, time_point now,
+                        output& out) {
     auto run = std::make_shared<request_run>();
     run->token = request.token;
     run->id = request.id;
     run->table = table_;
-    run->route = route;
+    run->route = &route;
     run->arrived = now;
-    const auto reserve = answer_reserve + route->objective * objective_reserve_percent / 100;
-    run->objective_at = now + std::max(route->objective / 2, route->objective - reserve);
-    run->wait_until = now + route->objective / wait_part_of_objective;
-    const auto patience = std::min(route->timeout, request.time_left.value_or(route->timeout));
+    const auto reserve = answer_reserve + route.objective * objective_reserve_percent / 100;
+    run->objective_at = now + std::max(route.objective / 2, route.objective - reserve);
+    run->wait_until = now + route.objective / wait_part_of_objective;
+    const auto patience = std::min(route.timeout, request.time_left.value_or(route.timeout));
     run->deadline = now + std::max(patience / 2, patience - answer_reserve);
     run->objective_at = std::min(run->objective_at, run->deadline);
     make_parts(*run, now);
     runs_[request.token] = run;
     run_timers_.add(run->objective_at, request.token);
     run_timers_.add(run->deadline, request.token);
-    for (std::size_t n = 0; n < run->parts.size(); ++n) {
-        place(run, n, false, now, out);
-    }
+    place_all(run, now, out);
     check(run, now, out);
 }
 
@@ -164,6 +206,7 @@
 }
 
 void gateway::leave(request_token token, time_point now, output& out) {
+    std::erase_if(early_, [token](const auto& it) { return it.request.token == token; });
     const auto found = runs_.find(token);
     if (found == runs_.end()) {
         return;
@@ -183,6 +226,11 @@
 
 void gateway::on_time(time_point now, output& out) {
     searchers_.expire(now);
+    while (!early_.empty() && now >= early_.front().arrived + early_wait) {
+        const auto request = early_.front().request;
+        early_.erase(early_.begin());
+        refuse(request, refusal_reason::not_ready, now, out);
+    }
     while (const auto token = run_timers_.pop_due(now)) {
         const auto found = runs_.find(*token);
         if (found == runs_.end()) {
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -52,6 +52,8 @@
 
     [[nodiscard]] directory& searchers() { return searchers_; }
     [[nodiscard]] const directory& searchers() const { return searchers_; }
+    /// All registrations are known once; before, requests wait for a moment and are refused then.
+    void set_complete(time_point now, output& out);
     /// To be called after searchers() was changed: what waited may be sent now.
     void on_searchers_changed(time_point now, output& out);
 
@@ -73,7 +75,11 @@
     };
     using run_ptr = std::shared_ptr<request_run>;
 
+    [[nodiscard]] bool knows_enough() const { return complete_ && table_->version > 0; }
     void arrive(const gateway_request& request, time_point now, output& out);
+    void start_run(const gateway_request& request, const gateway_route& route, time_point now, output& out);
+    void refuse(const gateway_request& request, refusal_reason reason, time_point now, output& out);
+    void release_early(time_point now, output& out);
     void leave(request_token token, time_point now, output& out);
     void end_attempt(attempt_id id, attempt_result result, time_point now, output& out);
     void on_time(time_point now, output& out);
@@ -81,6 +87,10 @@
     void make_parts(request_run& run, time_point now);
     /// Places a part, lets it wait, or fails it.
     void place(const run_ptr& run, std::size_t part, bool extra, time_point now, output& out);
+    void take_choice(const run_ptr& run, std::size_t part, const placement_choice& choice, bool extra,
+                     time_point now, output& out);
+    /// Places all parts of a new request, or none where too few can be.
+    void place_all(const run_ptr& run, time_point now, output& out);
     void send(const run_ptr& run, std::size_t part, const placement_choice& choice, time_point now,
               output& out);
     void send_again(const run_ptr& run, std::size_t part, time_point now, output& out);
@@ -112,6 +122,12 @@
     pcg32 random_;
     std::shared_ptr<const routing_table> table_ = std::make_shared<routing_table>();
     std::uint32_t hosts_ = 1;
+    bool complete_ = false;
+    struct early_request {
+        gateway_request request;
+        time_point arrived{};
+    };
+    std::vector<early_request> early_; ///< that came before enough was known
     std::unordered_map<request_token, run_ptr> runs_;
     std::unordered_map<attempt_id, attempt> attempts_;
     attempt_id last_attempt_ = 0;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -42,8 +42,32 @@
 }
 
 void gateway::place(const run_ptr& run, std::size_t part, bool extra, time_point now, output& out) {
+    take_choice(run, part, placement_.pick(request_for(*run, run->parts[part], now)), extra, now, out);
+}
+
+void gateway::place_all(const run_ptr& run, time_point now, output& out) {
+    std::vector<placement_choice> choices;
+    for (const auto& it : run->parts) {
+        choices.push_back(placement_.pick(request_for(*run, it, now)));
+    }
+    const auto possible = std::count_if(choices.begin(), choices.end(), [](const auto& it) {
+        return it.outcome == placement_outcome::found || it.outcome == placement_outcome::full;
+    });
+    // Where too few shards can answer, nothing is sent, so that the refusal is a true one.
+    const bool enough = static_cast<std::size_t>(possible) >= run->least_parts();
+    for (std::size_t n = 0; n < choices.size(); ++n) {
+        if (!enough && choices[n].outcome == placement_outcome::found) {
+            run->parts[n].state = part_state::failed;
+            run->parts[n].reason = refusal_reason::shards_down;
+        } else {
+            take_choice(run, n, choices[n], false, now, out);
+        }
+    }
+}
+
+void gateway::take_choice(const run_ptr& run, std::size_t part, const placement_choice& choice, bool extra,
+                          time_point now, output& out) {
     auto& it = run->parts[part];
-    const auto choice = placement_.pick(request_for(*run, it, now));
     switch (choice.outcome) {
     case placement_outcome::found:
         run->extra_attempts += extra ? 1 : 0;
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr double slowness_gain = 1.0 / 4.0; ///< a searcher that turns slow is noticed within a few answers
+constexpr double widest_window = 1000.0;    ///< the connection share is always less
 constexpr double failure_gain = 1.0 / 8.0;
 constexpr double outlier_ratio = 4.0;  ///< a single answer counts for no more than this ...
 constexpr double outlier_growth = 2.0; ///< ... or this times what is believed already
@@ -58,6 +59,7 @@
     slowness = std::clamp(slowness + slowness_gain * (bounded - slowness), least_slowness, most_slowness);
     failure_share -= failure_gain * failure_share;
     failures_in_row = 0;
+    window = std::min(widest_window, window + 1.0);
     last_answer = now;
     last_ended = now;
     fault = searcher_fault::none;
@@ -74,6 +76,7 @@
     failure_share += failure_gain * (1.0 - failure_share);
     last_ended = now;
     ++failures_in_row;
+    window = std::max(1.0, window / 2.0);
     if (kind == searcher_fault::failing && failures_in_row < failures_before_fault) {
         return;
     }
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -55,6 +55,9 @@
     double slowness = 1.0;      ///< its time for a request against the usual one
     double failure_share = 0.0; ///< of its recent attempts, those that were refused or came to nothing
     std::uint32_t failures_in_row = 0;
+    /// Attempts that may be open here at a time: begins small, grows with each answer and halves with each
+    /// failure, so that hosts that start together do not open all their connections at once.
+    double window = 2.0;
     time_point last_answer{};
     time_point last_ended{};
     searcher_fault fault = searcher_fault::none;
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -75,7 +75,7 @@
             best.outcome = best.outcome == placement_outcome::none ? placement_outcome::down : best.outcome;
             continue;
         }
-        if (it->open.size() >= share) {
+        if (it->open.size() >= std::min(share, static_cast<std::uint32_t>(it->window))) {
             best.outcome = best.outcome == placement_outcome::found ? best.outcome : placement_outcome::full;
             continue;
         }
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -140,9 +140,17 @@
         server_.set_body_limit(limits.body_bytes);
     }
     perform(std::move(actions));
+    timer_.set(gateway_.next_wakeup());
     return newer;
 }
 
+void gateway_front::set_complete() {
+    std::vector<gateway_output> actions;
+    gateway_.set_complete(loop_.now(), actions);
+    perform(std::move(actions));
+    timer_.set(gateway_.next_wakeup());
+}
+
 void gateway_front::update(const std::function<void(directory& searchers)>& change) {
     std::vector<gateway_output> actions;
     change(gateway_.searchers());
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -80,8 +80,8 @@
         if (front_.decisions().table()->version == 0) {
             return make_error(error_kind::starting, "no configuration is known yet");
         }
-        if (front_.decisions().searchers().size() == 0) {
-            return make_error(error_kind::starting, "no searchers are known yet");
+        if (!complete_) {
+            return make_error(error_kind::starting, "not all searchers are known yet");
         }
         return std::nullopt;
     }
@@ -101,6 +101,10 @@
             front_.update([&](directory& searchers) { searchers.set_evacuated(zones); });
         };
         out.on_routing = [this](auto table) { take_table(std::move(table)); };
+        out.on_complete = [this] {
+            complete_ = true;
+            front_.set_complete();
+        };
         out.on_hosts = [this](std::uint32_t hosts) {
             front_.decisions().set_hosts(std::max(hosts, settings_.gateway->least_hosts));
             log_event(log_level::info, "hosts", {{"hosts", hosts}});
@@ -196,6 +200,7 @@
     http_server readiness_;
     admin_service admin_;
     knowledge_runner knowledge_;
+    bool complete_ = false; ///< every searcher's registration is known
     bool draining_ = false;
     time_point drain_began_{};
     int exit_code_ = 0;
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -32,7 +32,8 @@
                              std::vector<std::string> seeds, bool first_start) {
     serve();
     const auto bound = server_.listen(address);
-    group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing, first_start, loop_.now());
+    group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing,
+                                          first_start, loop_.now());
     log_event(log_level::info, "peers_listening", {{"address", bound}});
     tick();
 }
@@ -140,6 +141,9 @@
         changes.insert(changes.end(), gone.begin(), gone.end());
     }
     apply(changes);
+    if (update.whole && revision > 0) {
+        note_complete();
+    }
     std::vector<evacuation> zones;
     for (const auto& it : update.evacuations) {
         if (known_.take(it)) {
@@ -210,6 +214,9 @@
     } else if (event.kind == store_kind::evacuations) {
         apply(known_.retain_evacuations(event.names, event.revision));
     }
+    if (event.kind == store_kind::searchers) {
+        note_complete();
+    }
     known_.advance(event.kind, event.revision);
     known_.confirm(loop_.now());
     log_event(log_level::info, "listed",
@@ -248,6 +255,13 @@
     }
 }
 
+void knowledge_runner::note_complete() {
+    if (!complete_) {
+        complete_ = true;
+        handlers_.on_complete();
+    }
+}
+
 void knowledge_runner::answer_followers() {
     const auto now = loop_.now();
     std::erase_if(held_, [&](held_reply& it) {
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -18,6 +18,7 @@
     std::function<void(const std::set<std::string>& zones)> on_evacuations;
     std::function<void(std::shared_ptr<const routing_table> table)> on_routing;
     std::function<void(std::uint32_t hosts)> on_hosts;
+    std::function<void()> on_complete; ///< every registration is known; called once
 };
 
 class knowledge_runner {
@@ -56,6 +57,7 @@
     void apply(const std::vector<registration>& changes);
     void apply(const std::vector<evacuation>& changes);
     void apply(const routing_source& source, std::shared_ptr<const routing_table> table);
+    void note_complete();
     void answer_followers();
     void answer(held_reply& it);
 
@@ -73,6 +75,7 @@
     std::vector<held_reply> held_;
     std::uint32_t hosts_ = 0;
     bool watching_ = false;
+    bool complete_ = false;
 };
 
 } // namespace skylarkseam
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -55,11 +55,32 @@
 BOOST_AUTO_TEST_CASE(says_that_nothing_has_run_and_when_to_come_back) {
     gateway_world world;
     world.ask("/search/x");
+    world.run_for(milliseconds(201));
     BOOST_TEST_REQUIRE(world.results.size() == 1U);
     BOOST_TEST(world.results[0].status == 503);
     BOOST_TEST((world.results[0].retry_after > duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(keeps_a_request_that_comes_just_before_all_searchers_are_known) {
+    gateway_world world;
+    world.add_route(shard_route(add_shards(world, 4), 0.89));
+    world.ask("/search/x", 0, milliseconds(2000));
+    world.run_for(milliseconds(100));
+    BOOST_TEST(world.results.empty());
+    world.publish();
+    world.run_for(seconds(1));
+    BOOST_TEST_REQUIRE(world.results.size() == 1U);
+    BOOST_TEST(world.results[0].status == 200);
+    BOOST_TEST(world.results[0].missing == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(forgets_a_request_whose_client_left_meanwhile) {
+    gateway_world world;
+    world.leave(world.ask("/search/x"));
+    world.run_for(seconds(1));
+    BOOST_TEST(world.results.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(over_shards, shards_fixture)
@@ -183,6 +204,22 @@
     BOOST_TEST((times[times.size() / 2] < milliseconds(60)));
 }
 
+BOOST_AUTO_TEST_CASE(sends_nothing_where_too_few_shards_have_a_searcher) {
+    for (const auto* const name : {"shard3", "shard4"}) {
+        for (auto& it : world.searchers.at(name)) {
+            for (auto& host : world.hosts) {
+                host->searchers().remove(it->record.id, true, world.now);
+                host->searchers().expire(world.now + seconds(3));
+            }
+        }
+    }
+    world.ask("/search/x");
+    BOOST_TEST_REQUIRE(world.results.size() == 1U);
+    BOOST_TEST(world.results[0].status == 503);
+    BOOST_TEST((world.results[0].retry_after > duration::zero()));
+    BOOST_TEST(world.hosts[0]->counters().attempts == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(stops_all_work_when_the_client_leaves) {
     const auto token = world.ask("/search/x");
     world.run_for(milliseconds(2));
@@ -242,6 +279,21 @@
     BOOST_TEST(world.hosts[0]->counters().extra_attempts == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(opens_few_connections_to_a_searcher_that_has_not_answered_yet) {
+    route(repeatability::at_most_once);
+    for (int n = 0; n < 50; ++n) {
+        world.ask("/audit/x");
+    }
+    world.run_for(milliseconds(5));
+    for (const auto& it : world.searchers.at("desk")) {
+        BOOST_TEST(it->arrivals <= 2U);
+    }
+    world.run_for(milliseconds(195));
+    const auto answered = std::count_if(world.results.begin(), world.results.end(),
+                                        [](const auto& it) { return it.status == 200; });
+    BOOST_TEST(answered >= 30);
+}
+
 BOOST_AUTO_TEST_CASE(answers_at_the_deadline_whatever_the_searcher_does) {
     route(repeatability::at_most_once);
     for (auto& it : world.searchers.at("desk")) {
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -87,8 +87,9 @@
                 hosts[n]->searchers().put(it->record, now);
             }
         }
+        hosts[n]->set_complete(now, out);
         hosts[n]->on_searchers_changed(now, out);
-        perform(n, std::move(out));
+        perform(n, out);
     }
 }
 
@@ -147,7 +148,7 @@
 void gateway_world::handle(std::uint32_t host, gateway_input input) {
     std::vector<gateway_output> out;
     hosts[host]->handle(std::move(input), now, out);
-    perform(host, std::move(out));
+    perform(host, out);
 }
 
 void gateway_world::wake(std::uint32_t host) {
@@ -162,7 +163,7 @@
     }
 }
 
-void gateway_world::perform(std::uint32_t host, std::vector<gateway_output> actions) {
+void gateway_world::perform(std::uint32_t host, const std::vector<gateway_output>& actions) {
     struct visitor {
         gateway_world& self;
         std::uint32_t host;
@@ -229,7 +230,7 @@
         run(it, to, id);
         return;
     }
-    it.queued.push_back([this, &it, to, id] { run(it, to, id); });
+    it.queued.emplace_back([this, &it, to, id] { run(it, to, id); });
 }
 
 duration gateway_world::pause_left(const model_searcher& it) const {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -99,7 +99,7 @@
     };
 
     void handle(std::uint32_t host, gateway_input input);
-    void perform(std::uint32_t host, std::vector<gateway_output> actions);
+    void perform(std::uint32_t host, const std::vector<gateway_output>& actions);
     void send(std::uint32_t host, const gateway_action::send& action);
     void arrive(model_searcher& it, const std::shared_ptr<flight>& to, const std::string& id);
     void run(model_searcher& it, const std::shared_ptr<flight>& to, const std::string& id);
