Settings are read again on SIGHUP; cold searchers' stated rate is held; a node without knowledge asks the store sooner

Cause: SIGHUP was only logged; a positive rate of cold searchers was decoded and not held; after all hosts lost power beside a silent store, calls waited 1.2 s and pauses grew to 1.5 s though no client could be served. Change: seeds, budget and stop time are taken at once; the hosts of a cold searcher's zone share 0.8 of its rate, others send it nothing; while nothing is known, calls are given up after 0.4 s, then later, and pauses stay at 0.1 s.

--- a/src/skylarkseam/cli/gateway_command.cpp
+++ b/src/skylarkseam/cli/gateway_command.cpp
@@ -20,6 +20,25 @@
     return path == nullptr ? std::string() : std::string(path);
 }
 
+/// Nothing where the file cannot be read or is faulty; the faults are on the standard error stream.
+std::optional<node_settings> read_settings(const std::string& path) {
+    const auto source = read_source(path);
+    if (!source) {
+        std::cerr << source.error().detail << '\n';
+        return std::nullopt;
+    }
+    auto settings = parse_settings(source.value());
+    if (!settings.faults.empty()) {
+        print_faults(settings.faults);
+        return std::nullopt;
+    }
+    if (!settings.value.gateway) {
+        std::cerr << path << ": the section \"gateway\" is missing\n";
+        return std::nullopt;
+    }
+    return std::move(settings.value);
+}
+
 } // namespace
 
 exit_code gateway_command(const arguments& args) {
@@ -30,23 +49,15 @@
     if (const auto ended = line.parse(args)) {
         return *ended;
     }
-    const auto source = read_source(line.value("settings"));
-    if (!source) {
-        std::cerr << source.error().detail << '\n';
-        return exit_code::refused;
-    }
-    const auto settings = parse_settings(source.value());
-    if (!settings.faults.empty()) {
-        print_faults(settings.faults);
-        return exit_code::refused;
-    }
-    if (!settings.value.gateway) {
-        std::cerr << line.value("settings") << ": the section \"gateway\" is missing\n";
+    const auto path = line.value("settings");
+    const auto settings = read_settings(path);
+    if (!settings) {
         return exit_code::refused;
     }
     const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer,
                                    &platform::read_routing};
-    return run_gateway(settings.value, binding) == 0 ? exit_code::done : exit_code::refused;
+    const auto ended = run_gateway(*settings, binding, [path] { return read_settings(path); });
+    return ended == 0 ? exit_code::done : exit_code::refused;
 }
 
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -49,6 +49,7 @@
     /// The number of hosts that share the searchers' connections and the budgets.
     void set_hosts(std::uint32_t hosts) { hosts_ = std::max(1U, hosts); }
     [[nodiscard]] std::uint32_t hosts() const { return hosts_; }
+    void set_extra(const extra_budget_limits& limits) { options_.extra = limits; }
 
     [[nodiscard]] directory& searchers() { return searchers_; }
     [[nodiscard]] const directory& searchers() const { return searchers_; }
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -37,6 +37,8 @@
     request.usual = usual_[run.route->name].median();
     request.objective = run.route->objective;
     request.hosts = hosts_;
+    const auto zones = std::max<std::size_t>(1, options_.view.region_of_zone.size());
+    request.hosts_here = std::max(1U, hosts_ / static_cast<std::uint32_t>(zones));
     request.now = now;
     return request;
 }
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -37,6 +37,15 @@
     if (fault != searcher_fault::none) {
         probe_at = now + probe_pause;
     }
+    cold_allowance = std::max(0.0, cold_allowance - 1.0);
+}
+
+void known_searcher::refill_cold_allowance(double per_second, time_point now) {
+    if (cold_allowance_at != time_point{}) {
+        const auto passed = std::chrono::duration<double>(now - cold_allowance_at).count();
+        cold_allowance = std::min(1.0, cold_allowance + passed * per_second);
+    }
+    cold_allowance_at = now;
 }
 
 bool known_searcher::on_ended(attempt_id id) {
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -61,8 +61,10 @@
     time_point last_answer{};
     time_point last_ended{};
     searcher_fault fault = searcher_fault::none;
-    time_point probe_at{};  ///< while it has a fault: when one request may try it again
-    duration probe_pause{}; ///< grows while probes fail
+    double cold_allowance = 0.0;    ///< requests that this host may send it now, while it is cold
+    time_point cold_allowance_at{}; ///< when that was counted
+    time_point probe_at{};          ///< while it has a fault: when one request may try it again
+    duration probe_pause{};         ///< grows while probes fail
 
     void on_sent(attempt_id id, time_point now, duration usual);
     /// Removes an attempt; false where it is not open.
@@ -71,6 +73,9 @@
     void on_refused(time_point now);
     void on_failure(searcher_fault kind, time_point now);
 
+    /// Counts what a cold searcher may be sent: at most one at once, so that hosts do not add up to a burst.
+    void refill_cold_allowance(double per_second, time_point now);
+
     /// How long the attempt that has waited longest is open.
     [[nodiscard]] duration oldest_age(time_point now) const {
         return open.empty() ? duration::zero() : now - open.front().sent;
--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -17,6 +17,11 @@
     std::erase(seeds_, self_.address);
 }
 
+void peer_group::set_seeds(std::vector<std::string> seeds) {
+    seeds_ = std::move(seeds);
+    std::erase(seeds_, self_.address);
+}
+
 void peer_group::note(const gateway_identity& who, time_point heard) {
     if (who.name == self_.name || who.name.empty()) {
         return;
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -85,6 +85,7 @@
     [[nodiscard]] std::uint32_t hosts() const;
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
     [[nodiscard]] std::string followed() const { return follow_open_ ? follow_address_ : std::string(); }
+    void set_seeds(std::vector<std::string> seeds);
     void set_leaving() { leaving_ = true; }
 
 private:
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -12,6 +12,7 @@
     0.6; ///< of the objective: a refusal may cost the part, and the budget of others
 constexpr double queue_weight = 0.35; ///< one more open request here stands for others of other hosts
 constexpr double cold_slowness = 1.6;
+constexpr double cold_part = 0.8; ///< of the rate that it bears, for hosts that do not know of each other
 constexpr double spare_connections = 0.9;  ///< part of the connections that is used: others may be opening
 constexpr std::uint32_t jitter_steps = 32; ///< so that hosts do not all prefer the same one
 constexpr double jitter = 0.1;
@@ -31,6 +32,19 @@
     return cold ? std::max(slowness, cold_slowness) : slowness;
 }
 
+/// A cold searcher bears few requests from all hosts together: the hosts of its zone share them.
+bool cold_permits(known_searcher& it, const placement_request& request) {
+    if (request.now >= it.cold_until || request.service->cold_rate <= 0.0) {
+        return true;
+    }
+    if (it.far != distance::same_zone) {
+        return false;
+    }
+    it.refill_cold_allowance(cold_part * request.service->cold_rate / std::max(1U, request.hosts_here),
+                             request.now);
+    return it.cold_allowance >= 1.0;
+}
+
 } // namespace
 
 std::uint32_t placement::connection_share(const gateway_service* service, std::uint32_t hosts) {
@@ -70,6 +84,10 @@
             !in_regions(request.home_regions, it->region) || contains(request.tried, it.get())) {
             continue;
         }
+        if (!cold_permits(*it, request)) {
+            best.outcome = best.outcome == placement_outcome::none ? placement_outcome::full : best.outcome;
+            continue;
+        }
         const bool faulty = it->fault != searcher_fault::none;
         if (faulty && (request.now < it->probe_at || !it->open.empty())) {
             best.outcome = best.outcome == placement_outcome::none ? placement_outcome::down : best.outcome;
--- a/src/skylarkseam/gateway/placement.hpp
+++ b/src/skylarkseam/gateway/placement.hpp
@@ -20,6 +20,7 @@
     duration usual{};                             ///< latency of such a request
     duration objective{};                         ///< of the client's whole request
     std::uint32_t hosts = 1;                      ///< that share the searcher's connections
+    std::uint32_t hosts_here = 1;                 ///< of them, those of this host's zone
     time_point now{};
 };
 
--- a/src/skylarkseam/gateway/store_follower.cpp
+++ b/src/skylarkseam/gateway/store_follower.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t jitter_steps = 64;
+constexpr std::uint32_t most_urgent_failures = 16; ///< beyond, the store is not merely slow to come back
 
 constexpr name_table kind_names{std::array{
     named_value<store_kind>{store_kind::routing, "routing"},
@@ -54,7 +55,7 @@
         store_call call;
         call.kind = kind;
         call.watch = it.open_watch;
-        call.timeout = timing_.call_timeout;
+        call.timeout = timeout_of(it);
         if (call.watch) {
             call.revision = it.revision;
             call.wait = timing_.watch_wait;
@@ -79,6 +80,7 @@
         it.failing_since.reset();
     }
     it.pause = duration::zero();
+    it.failures = 0;
     it.heard = now;
     const bool away = last_failure_ && now - *last_failure_ < timing_.unsettled;
     if (answer.status == store_status::history_gone) {
@@ -138,11 +140,24 @@
     it.listing_revision.reset();
     it.after.clear();
     it.names.clear();
-    it.pause = patient_ ? timing_.patient_pause
-                        : std::clamp(it.pause * 2, timing_.first_pause, timing_.longest_pause);
+    ++it.failures;
+    if (!it.listed_once) {
+        it.pause = timing_.first_pause;
+    } else if (patient_) {
+        it.pause = timing_.patient_pause;
+    } else {
+        it.pause = std::clamp(it.pause * 2, timing_.first_pause, timing_.longest_pause);
+    }
     it.due = now + jittered(it.pause);
 }
 
+duration store_follower::timeout_of(const line& it) const {
+    if (it.listed_once || it.failures >= most_urgent_failures) {
+        return timing_.call_timeout;
+    }
+    return std::min(timing_.call_timeout, timing_.urgent_timeout * (1 + it.failures));
+}
+
 std::optional<time_point> store_follower::next_wakeup() const {
     std::optional<time_point> next;
     if (!active_) {
--- a/src/skylarkseam/gateway/store_follower.hpp
+++ b/src/skylarkseam/gateway/store_follower.hpp
@@ -108,6 +108,9 @@
     duration first_pause = milliseconds(100);
     duration longest_pause = milliseconds(1500);
     duration patient_pause = milliseconds(4000);
+    /// While nothing is known yet, no client can be served: calls are given up sooner, at first, and the
+    /// pauses between them do not grow.
+    duration urgent_timeout = milliseconds(400);
     /// For so long after a failed call entries may be missing that lapsed while the store was away.
     duration unsettled = seconds(4);
 };
@@ -146,6 +149,7 @@
         std::uint64_t revision = 0; ///< to watch from; 0: list first
         time_point due{};
         duration pause{};
+        std::uint32_t failures = 0; ///< in a row
         std::optional<time_point> failing_since;
         std::optional<time_point> heard;
     };
@@ -157,6 +161,7 @@
     void take_listing(store_kind kind, store_page page, bool away, time_point now,
                       std::vector<store_output>& out);
     void fail(store_kind kind, const store_answer& answer, time_point now, std::vector<store_output>& out);
+    [[nodiscard]] duration timeout_of(const line& it) const;
     [[nodiscard]] duration jittered(duration base);
 
     store_timing timing_;
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -35,9 +35,11 @@
 
 class gateway_node {
 public:
-    gateway_node(const node_settings& settings, const platform_binding& binding)
+    gateway_node(const node_settings& settings, const platform_binding& binding,
+                 std::function<std::optional<node_settings>()> reload)
         : settings_(settings)
         , binding_(binding)
+        , reload_(std::move(reload))
         , front_(loop_, binding_, limits_of(settings.limits), settings.limits.upstream_body_bytes,
                  options_of(settings), metrics_)
         , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
@@ -52,7 +54,7 @@
 
     int run() {
         write_logs_by(loop_);
-        loop_.on_operator_signals([] { log_event(log_level::info, "reload", {}); },
+        loop_.on_operator_signals([this] { reload(); },
                                   [this] {
                                       log_event(log_level::info, "state", {{"dump", admin_.state_json()}});
                                   });
@@ -176,6 +178,22 @@
         check_drained();
     }
 
+    /// Takes what may change while the process runs: the seeds, the budget and the stop time. Addresses and
+    /// the zone stay until the next start.
+    void reload() {
+        const auto fresh = reload_();
+        if (!fresh || !fresh->gateway) {
+            log_event(log_level::warning, "reload", {{"outcome", "refused"}});
+            return;
+        }
+        const auto& gateway = *fresh->gateway;
+        settings_.seeds = fresh->seeds;
+        settings_.gateway->stop_grace = gateway.stop_grace;
+        front_.decisions().set_extra({gateway.extra_ratio, gateway.extra_slack, gateway.extra_window});
+        knowledge_.set_seeds(peer_seeds());
+        log_event(log_level::info, "reload", {{"outcome", "taken"}, {"seeds", settings_.seeds.size()}});
+    }
+
     void check_drained() {
         const auto now = loop_.now();
         const auto since = now - drain_began_;
@@ -194,6 +212,7 @@
 
     node_settings settings_;
     platform_binding binding_;
+    std::function<std::optional<node_settings>()> reload_;
     event_loop loop_;
     metrics metrics_;
     gateway_front front_;
@@ -208,9 +227,10 @@
 
 } // namespace
 
-int run_gateway(const node_settings& settings, const platform_binding& binding) {
+int run_gateway(const node_settings& settings, const platform_binding& binding,
+                std::function<std::optional<node_settings>()> reload) {
     start_logging(settings.level, settings.name);
-    return gateway_node(settings, binding).run();
+    return gateway_node(settings, binding, std::move(reload)).run();
 }
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_node.hpp
+++ b/src/skylarkseam/shell/gateway_node.hpp
@@ -9,7 +9,10 @@
 
 /// Runs until it has drained after SIGTERM (0), or until a second SIGTERM ends it at once (1). SIGHUP reads
 /// the settings again, SIGUSR1 writes the state dump to the log. Throws std::runtime_error where it cannot
-/// start. \param settings  with a gateway section
-int run_gateway(const node_settings& settings, const platform_binding& binding);
+/// start.
+/// \param settings  with a gateway section
+/// \param reload    reads the settings again; nothing where they are faulty, which it has told of
+int run_gateway(const node_settings& settings, const platform_binding& binding,
+                std::function<std::optional<node_settings>()> reload);
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -29,6 +29,7 @@
     /// \param address  where other gateways reach this one
     void start(const std::string& name, const std::string& zone, const std::string& address,
                std::vector<std::string> seeds, bool first_start);
+    void set_seeds(std::vector<std::string> seeds) { group_->set_seeds(std::move(seeds)); }
     /// Other gateways follow somebody else from now on.
     void leave();
 
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -137,7 +137,22 @@
     BOOST_TEST(!next_call(store_kind::searchers)->watch);
 }
 
+BOOST_AUTO_TEST_CASE(asks_again_soon_while_nothing_is_known_and_allows_more_time_each_time) {
+    duration last{};
+    for (int n = 0; n < 3; ++n) {
+        const auto call = next_call(store_kind::searchers);
+        BOOST_TEST_REQUIRE(call.has_value());
+        BOOST_TEST((call->timeout > last));
+        last = call->timeout;
+        answer({});
+        now += milliseconds(150);
+    }
+    BOOST_TEST((last <= store_timing{}.call_timeout));
+}
+
 BOOST_AUTO_TEST_CASE(backs_off_from_any_failure) {
+    next_call(store_kind::searchers);
+    answer(page(100, {"a"}));
     for (const auto status : {store_status::unavailable, store_status::throttled}) {
         int calls = 0;
         for (const auto end = now + seconds(20); now < end; now += milliseconds(10)) {
@@ -152,7 +167,7 @@
         BOOST_TEST(calls <= 40);
         BOOST_TEST(calls >= 8);
     }
-    BOOST_TEST((follower.heard(store_kind::searchers) == std::nullopt));
+    BOOST_TEST((follower.heard(store_kind::routing) == std::nullopt));
 }
 
 BOOST_AUTO_TEST_CASE(tells_that_entries_may_have_lapsed_while_the_store_was_away) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -294,6 +294,25 @@
     BOOST_TEST(answered >= 30);
 }
 
+BOOST_AUTO_TEST_CASE(gives_a_cold_searcher_no_more_than_it_bears) {
+    gateway_world many{9};
+    many.add_service("desk", 4, zones, 200);
+    many.add_route(single_route("desk", repeatability::at_most_once));
+    many.cold_rate("desk", 6.0);
+    many.at("desk", 0).record.cold_for = seconds(4);
+    many.publish();
+    many.load("/audit/x", 200.0, seconds(4));
+    std::uint64_t before = 0;
+    for (int second = 0; second < 4; ++second) {
+        many.run_for(seconds(1));
+        const auto arrived = many.at("desk", 0).arrivals;
+        // The users' bound: 1.5 times the rate and 5 in any second, over all hosts.
+        BOOST_TEST(arrived - before <= 14U);
+        before = arrived;
+    }
+    BOOST_TEST(before > 4U);
+}
+
 BOOST_AUTO_TEST_CASE(answers_at_the_deadline_whatever_the_searcher_does) {
     route(repeatability::at_most_once);
     for (auto& it : world.searchers.at("desk")) {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -59,6 +59,9 @@
     /// \param zones  one searcher in each
     void add_service(const std::string& name, std::uint32_t slots, const std::vector<std::string>& zones,
                      std::uint32_t connections = 36);
+    void cold_rate(const std::string& service, double per_second) {
+        table_->services[service].cold_rate = per_second;
+    }
     void add_route(gateway_route route);
     void publish(); ///< makes the routes and services known to every gateway
 
