One log line for every answer and every second attempt, with what decided it

Cause: whole answers in time left no line, and second attempts only a count. Change: answers name the configuration's version and the age of the gateway's knowledge; second attempts name the searcher, the reason and the time waited.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -138,6 +138,14 @@
     any_answer value;
     request_summary summary;
 };
+/// A part of a request is sent once more.
+struct note_again {
+    std::string request;
+    std::string service;
+    std::string searcher; ///< that gets it now
+    std::string reason;   ///< why the attempt before it is not enough
+    duration since{};     ///< the attempt before it was sent
+};
 /// What is believed of a searcher has changed.
 struct note_searcher {
     std::string searcher;
@@ -148,6 +156,6 @@
 } // namespace gateway_action
 
 using gateway_output = std::variant<gateway_action::send, gateway_action::cancel, gateway_action::answer,
-                                    gateway_action::note_searcher>;
+                                    gateway_action::note_again, gateway_action::note_searcher>;
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -5,9 +5,11 @@
 namespace skylarkseam {
 
 gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
-                             std::size_t answer_limit, gateway_options options, metrics& measured)
+                             std::size_t answer_limit, gateway_options options,
+                             std::function<duration()> knowledge_age, metrics& measured)
     : loop_(loop)
     , binding_(binding)
+    , knowledge_age_(std::move(knowledge_age))
     , measured_(measured)
     , gateway_(std::move(options))
     , pool_(loop, answer_limit,
@@ -54,6 +56,14 @@
         void operator()(gateway_action::send& it) const { self.send(it); }
         void operator()(gateway_action::cancel& it) const { self.pool_.cancel(it.id); }
         void operator()(gateway_action::answer& it) const { self.answer(it); }
+        void operator()(gateway_action::note_again& it) const {
+            log_event(log_level::info, "again",
+                      {{"request", it.request},
+                       {"service", it.service},
+                       {"searcher", it.searcher},
+                       {"reason", it.reason},
+                       {"after_ms", static_cast<std::uint64_t>(to_ms(it.since))}});
+        }
         void operator()(gateway_action::note_searcher& it) const {
             log_event(log_level::info, "searcher",
                       {{"searcher", it.searcher},
@@ -103,12 +113,12 @@
 
 void gateway_front::log_answer(const gateway_action::answer& action, int status, duration retry_after) {
     const auto& it = action.summary;
-    const bool plain = it.parts > 0 && it.parts_missing == 0 && it.elapsed <= it.objective;
-    log_event(plain ? log_level::debug : log_level::info, "answer",
+    log_event(log_level::info, "answer",
               {{"request", it.id},
                {"route", it.route},
                {"status", static_cast<std::uint64_t>(status)},
                {"version", it.config_version},
+               {"known_ms_ago", static_cast<std::uint64_t>(to_ms(knowledge_age_()))},
                {"elapsed_ms", static_cast<std::uint64_t>(to_ms(it.elapsed))},
                {"objective_ms", static_cast<std::uint64_t>(to_ms(it.objective))},
                {"parts", it.parts},
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -16,8 +16,10 @@
 
 class gateway_front {
 public:
+    /// \param knowledge_age  since the store confirmed what this gateway knows, for the log
     gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
-                  std::size_t answer_limit, gateway_options options, metrics& measured);
+                  std::size_t answer_limit, gateway_options options, std::function<duration()> knowledge_age,
+                  metrics& measured);
 
     std::string listen(const std::string& address) { return server_.listen(address); }
 
@@ -58,6 +60,7 @@
 
     event_loop& loop_;
     const platform_binding& binding_;
+    std::function<duration()> knowledge_age_;
     metrics& measured_;
     gateway gateway_;
     upstream_pool pool_;
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -40,8 +40,9 @@
         : settings_(settings)
         , binding_(binding)
         , reload_(std::move(reload))
-        , front_(loop_, binding_, limits_of(settings.limits), settings.limits.upstream_body_bytes,
-                 options_of(settings), metrics_)
+        , front_(
+              loop_, binding_, limits_of(settings.limits), settings.limits.upstream_body_bytes,
+              options_of(settings), [this] { return knowledge_.age(); }, metrics_)
         , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
                      [this](const incoming_request&, const respond& answer) { answer_readiness(answer); })
         , admin_(
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -280,6 +280,11 @@
     it.responder->finish();
 }
 
+duration knowledge_runner::age() const {
+    return known_.confirmed() ? std::max(duration::zero(), loop_.now() - *known_.confirmed())
+                              : duration::zero();
+}
+
 std::string knowledge_runner::state_json() const {
     const auto age = known_.confirmed() ? to_ms(loop_.now() - *known_.confirmed()) : -1;
     return R"({"routing_version":)" + std::to_string(known_.routing().version) + R"(,"searchers":)" +
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -33,6 +33,8 @@
     /// Other gateways follow somebody else from now on.
     void leave();
 
+    /// Since the store confirmed what is known; 0 where it never did.
+    [[nodiscard]] duration age() const;
     [[nodiscard]] std::uint64_t store_calls() const { return store_.calls(); }
     [[nodiscard]] std::string state_json() const;
 
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -189,6 +189,7 @@
             }
             self.results.push_back(result);
         }
+        void operator()(const gateway_action::note_again&) const {}
         void operator()(const gateway_action::note_searcher&) const {}
     };
     for (const auto& it : actions) {
