A request's usual time begins at a fifth of its objective

Change: the first guess is objective / 5; tests of a searcher and withdrawals wait six usual times where that is longer.

--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -113,6 +113,8 @@
     void pump(const std::string& service, time_point now, output& out);
     [[nodiscard]] placement_request request_for(const request_run& run, const request_part& part,
                                                 time_point now);
+    /// Latency of a route's requests at a searcher.
+    [[nodiscard]] latency_estimate& usual_of(const gateway_route& route);
     [[nodiscard]] bool may_send_again(const request_run& run, const request_part& part) const;
     [[nodiscard]] duration jittered(duration base);
 
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t most_unsent = 3;               ///< connections that may fail for one part
 constexpr duration probe_patience = milliseconds(450); ///< longer than the pauses that searchers make
 constexpr duration silent_after = milliseconds(700);
+constexpr int patience_factor = 6; ///< times the usual latency, where that is long
+constexpr int usual_part_of_objective =
+    5; ///< a request takes about 1/5 of its objective, until more is known
 constexpr int status_ok = 200;
 constexpr int status_redirect = 300;
 constexpr int status_server_error = 500;
@@ -34,7 +37,7 @@
     request.service = service == run.table->services.end() ? nullptr : &service->second;
     request.home_regions = run.route->home_regions;
     request.tried = part.tried;
-    request.usual = usual_[run.route->name].median();
+    request.usual = usual_of(*run.route).median();
     request.objective = run.route->objective;
     request.hosts = hosts_;
     const auto zones = std::max<std::size_t>(1, options_.view.region_of_zone.size());
@@ -98,7 +101,7 @@
                    output& out) {
     auto& it = run->parts[part];
     const auto id = ++last_attempt_;
-    const auto usual = usual_[run->route->name].median();
+    const auto usual = usual_of(*run->route).median();
     const auto trip = trips_.to(*choice.target);
     choice.target->on_sent(id, now, usual);
     attempts_[id] = {run->token, part, choice.target, run->route->name, now, usual, {}};
@@ -122,6 +125,10 @@
                                           choice.target->record.id, time_left, connect_timeout});
 }
 
+latency_estimate& gateway::usual_of(const gateway_route& route) {
+    return usual_.try_emplace(route.name, route.objective / usual_part_of_objective).first->second;
+}
+
 bool gateway::may_send_again(const request_run& run, const request_part& part) const {
     return part.tried.size() - part.unsent < run.route->max_attempts && part.unsent <= most_unsent;
 }
@@ -191,7 +198,10 @@
             break;
         }
         const auto work = std::max(duration::zero(), now - ended.sent - trips_.to(it));
-        usual_[ended.route].add(work);
+        const auto estimate = usual_.find(ended.route);
+        if (estimate != usual_.end()) {
+            estimate->second.add(work);
+        }
         it.on_answer(work, ended.usual, now);
         break;
     }
@@ -334,12 +344,13 @@
         if (keep_probes && tests) {
             // What becomes of it tells when the searcher answers again.
             found->second.token = 0;
-            found->second.give_up = it.sent + probe_patience;
+            found->second.give_up = it.sent + std::max(probe_patience, patience_factor * found->second.usual);
             probe_timers_.add(std::max(now, found->second.give_up), it.id);
             continue;
         }
         target.on_ended(it.id);
-        if (now - it.sent >= silent_after && target.last_answer < it.sent) {
+        const auto patience = std::max(silent_after, patience_factor * found->second.usual);
+        if (now - it.sent >= patience && target.last_answer < it.sent) {
             target.on_failure(searcher_fault::silent, now);
             notes_.push_back({target.record.id, target.record.service, "silent", "no answer"});
         }
--- a/src/skylarkseam/gateway/latency_estimate.hpp
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -11,11 +11,14 @@
 /// A running median: robust against the few requests that meet a paused or slow searcher.
 class latency_estimate {
 public:
+    /// \param first_guess  taken until answers are in
+    explicit latency_estimate(duration first_guess)
+        : median_(first_guess) {}
     void add(duration latency);
     [[nodiscard]] duration median() const { return median_; }
 
 private:
-    duration median_ = milliseconds(20); ///< until the first answers are in
+    duration median_;
     std::uint32_t samples_ = 0;
 };
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -294,6 +294,19 @@
     BOOST_TEST(answered >= 30);
 }
 
+BOOST_AUTO_TEST_CASE(takes_no_searcher_for_silent_before_its_usual_time_is_known) {
+    route(repeatability::at_most_once);
+    world.work = milliseconds(500);
+    // Clients with little patience, as those that only test which configuration is in force.
+    for (int n = 0; n < 9; ++n) {
+        world.ask("/audit/x", 0, milliseconds(250));
+    }
+    world.run_for(seconds(2));
+    for (const auto& it : world.hosts[0]->searchers().of_service("desk")) {
+        BOOST_TEST((it->fault == searcher_fault::none));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(gives_a_cold_searcher_no_more_than_it_bears) {
     gateway_world many{9};
     many.add_service("desk", 4, zones, 200);
