--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -97,7 +97,8 @@
     std::uint32_t parts_missing = 0;
     std::uint32_t attempts = 0;
     std::uint32_t extra_attempts = 0;
-    std::string detail; ///< the last fault that was met
+    std::string detail;           ///< the last fault that was met
+    std::string missing_services; ///< of the missing parts, each with its reason; the first few
 };
 
 namespace gateway_answer {
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -142,14 +142,15 @@
 
 void gateway::refuse(const gateway_request& request, refusal_reason reason, time_point, output& out) {
     const bool no_route = reason == refusal_reason::no_route;
-    const gateway_answer::refused refusal{reason, no_route ? status_not_found : status_unavailable,
-                                          no_route ? duration::zero() : jittered(retry_delay(reason))};
-    request_summary summary;
-    summary.id = request.id;
-    summary.config_version = table_->version;
-    summary.detail = std::string(name_of(reason));
+    gateway_action::answer answer;
+    answer.token = request.token;
+    answer.value = gateway_answer::refused{reason, no_route ? status_not_found : status_unavailable,
+                                           no_route ? duration::zero() : jittered(retry_delay(reason))};
+    answer.summary.id = request.id;
+    answer.summary.config_version = table_->version;
+    answer.summary.detail = std::string(name_of(reason));
     ++counters_.refused;
-    out.emplace_back(gateway_action::answer{request.token, refusal, std::move(summary)});
+    out.emplace_back(std::move(answer));
 }
 
 void gateway::arrive(const gateway_request& request, time_point now, output& out) {
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -10,6 +10,16 @@
 
 constexpr double rounding = 1e-9; ///< shares are fractions that have no exact binary form
 
+constexpr std::size_t most_missing_named = 4; ///< in a log line
+
+constexpr name_table part_state_names{std::array{
+    named_value<part_state>{part_state::waiting, "waiting"},
+    named_value<part_state>{part_state::sent, "no_answer_yet"},
+    named_value<part_state>{part_state::refused, "refused"},
+    named_value<part_state>{part_state::answered, "answered"},
+    named_value<part_state>{part_state::failed, "failed"},
+}};
+
 constexpr name_table outcome_names{std::array{
     named_value<attempt_outcome>{attempt_outcome::answered, "answered"},
     named_value<attempt_outcome>{attempt_outcome::refused, "refused"},
@@ -65,6 +75,21 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - rounding)));
 }
 
+std::string request_run::missing_services() const {
+    std::string text;
+    std::size_t named = 0;
+    for (const auto& it : parts) {
+        if (it.state == part_state::answered || named == most_missing_named) {
+            continue;
+        }
+        ++named;
+        text += text.empty() ? "" : ",";
+        text += it.service + ":";
+        text += it.state == part_state::failed ? name_of(it.reason) : part_state_names.name_of(it.state);
+    }
+    return text;
+}
+
 request_summary request_run::summary(time_point now) const {
     request_summary out;
     out.id = id;
@@ -77,6 +102,7 @@
     out.attempts = attempts;
     out.extra_attempts = extra_attempts;
     out.detail = last_fault;
+    out.missing_services = missing_services();
     return out;
 }
 
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -62,6 +62,7 @@
     [[nodiscard]] bool may_have_run() const;
     /// Fewest parts that a success has to hold.
     [[nodiscard]] std::size_t least_parts() const;
+    [[nodiscard]] std::string missing_services() const;
     [[nodiscard]] request_summary summary(time_point now) const;
 };
 
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -29,7 +29,8 @@
 void gateway_front::take(incoming_request request, respond answer) {
     last_request_ = loop_.now();
     auto event = to_gateway_request(request, binding_.dialect);
-    open_[request.id] = {std::move(request), std::move(answer), last_request_};
+    const auto token = request.id;
+    open_[token] = {std::move(request), std::move(answer), last_request_};
     deliver(gateway_event::request_arrived{std::move(event)});
 }
 
@@ -107,7 +108,8 @@
     log_answer(action, response.status, retry_after);
     measured_.observe("request_seconds", "route=\"" + action.summary.route + "\"",
                       loop_.now() - open.arrived);
-    measured_.count("answers", "status=\"" + std::to_string(response.status) + "\"");
+    measured_.count("answers", "route=\"" + action.summary.route + "\",status=\"" +
+                                   std::to_string(response.status) + "\"");
     open.answer(std::move(response));
 }
 
@@ -123,6 +125,7 @@
                {"objective_ms", static_cast<std::uint64_t>(to_ms(it.objective))},
                {"parts", it.parts},
                {"missing", it.parts_missing},
+               {"missing_services", it.missing_services},
                {"attempts", it.attempts},
                {"extra", it.extra_attempts},
                {"retry_after_ms", static_cast<std::uint64_t>(to_ms(retry_after))},
--- a/tests/end_to_end/configuration_test.cpp
+++ b/tests/end_to_end/configuration_test.cpp
@@ -119,7 +119,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_commands_of_the_pages_work_as_written) {
-    for (const auto* page : {"configuration.md", "operations/change-configuration.md"}) {
+    for (const auto* page : {"configuration.md", "runbooks/change-configuration.md"}) {
         const auto commands = commands_of(page);
         BOOST_TEST(commands.size() >= 5U);
         for (const auto& it : commands) {
--- a/tests/shell/log_output_test.cpp
+++ b/tests/shell/log_output_test.cpp
@@ -21,6 +21,9 @@
         ::close(ends[0]);
         ::close(ends[1]);
     }
+    pipe_fixture(const pipe_fixture&) = delete;
+    pipe_fixture& operator=(const pipe_fixture&) = delete;
+
     std::string read_all() const {
         std::string text;
         char buf[65536]; // NOLINT(modernize-avoid-c-arrays)
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -39,7 +39,7 @@
         call.request = {"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", false, "x-request-id", echo};
         call.connect_timeout = seconds(1);
         pool.send(std::move(call));
-        return call.id;
+        return last;
     }
 
     const upstream_result& fetch(const std::string& echo = "r1") {
