--- a/src/skylarkseam/cli/platform_session.cpp
+++ b/src/skylarkseam/cli/platform_session.cpp
@@ -1,14 +1,12 @@
+#include <skylarkseam/cli/operator_session.hpp>
 #include <skylarkseam/cli/platform_session.hpp>
-#include <skylarkseam/shell/platform_client.hpp>
 
 namespace skylarkseam {
 
 struct platform_session::impl {
     explicit impl(const std::string& url)
-        : platform(http, url) {}
-    event_loop loop;
-    http_client http{loop};
-    platform_client platform;
+        : operations({url, {}}) {}
+    operator_session operations;
 };
 
 platform_session::platform_session(const std::string& url)
@@ -17,17 +15,7 @@
 platform_session::~platform_session() = default;
 
 platform_response platform_session::call(const platform_request& request) {
-    constexpr duration longest_wait = milliseconds(100);
-    platform_response answer;
-    bool answered = false;
-    impl_->platform.call(request, [&](platform_response response) {
-        answer = std::move(response);
-        answered = true;
-    });
-    while (!answered) {
-        impl_->loop.run_once(longest_wait);
-    }
-    return answer;
+    return impl_->operations.call_platform(request);
 }
 
 platform_response platform_session::get(const std::string& kind, const std::string& name) {
--- a/src/skylarkseam/control/configuration_follower.cpp
+++ b/src/skylarkseam/control/configuration_follower.cpp
@@ -12,17 +12,10 @@
 
 using configuration_message::digest;
 
-/// Peers that a starting node hears before it takes what they have for the latest.
-constexpr std::size_t starting_sources = 3;
+constexpr std::size_t starting_sources = 3; ///< peers that a starting node hears before it takes their latest
 constexpr std::size_t most_confirmations = 4096;
-/// A reply with parts stops growing here, well under a frame.
-constexpr std::size_t parts_reply_bytes = 1'000'000;
-/// Announcements that failed are repeated to other peers, up to this many times the fan-out.
-constexpr std::uint32_t announcement_repeats = 2;
-
-configuration_watch_options watch_options(const follower_options& options) {
-    return {options.watch_timeout, options.read_interval, options.first_retry, options.longest_retry};
-}
+constexpr std::size_t parts_reply_bytes = 1'000'000; ///< of a reply with parts: well under a frame
+constexpr std::uint32_t announcement_repeats = 2;    ///< to other peers, in times of the fan-out
 
 } // namespace
 
@@ -41,7 +34,8 @@
         : options(std::move(opts))
         , held(codec)
         , fetch(held)
-        , watch(watch_options(options), codec)
+        , watch({options.watch_timeout, options.read_interval, options.first_retry, options.longest_retry},
+                codec)
         , random(options.seed)
         , started(start)
         , next_digest(start) {
--- a/src/skylarkseam/shell/admin_service.cpp
+++ b/src/skylarkseam/shell/admin_service.cpp
@@ -23,14 +23,6 @@
 }
 
 void admin_service::handle(const incoming_request& request, const respond& answer) {
-    const auto parts = request.segments();
-    if (!parts.empty()) {
-        const auto it = routes_.find(parts.front());
-        if (it != routes_.end()) {
-            it->second(request, answer);
-            return;
-        }
-    }
     if (request.method == "GET" && request.path == "/state") {
         answer({200, state_json(), "application/json", {}, false});
     } else if (request.method == "GET" && request.path == "/metrics") {
--- a/src/skylarkseam/shell/admin_service.hpp
+++ b/src/skylarkseam/shell/admin_service.hpp
@@ -16,8 +16,6 @@
 public:
     /// Writes one section of the state dump, a JSON value.
     using section = std::function<std::string()>;
-    /// Answers the requests under one path that are not the service's own.
-    using route = std::function<void(const incoming_request& request, const respond& answer)>;
 
     /// \param refresh  brings gauges up to date before metrics are written
     admin_service(event_loop& loop, http_limits limits, metrics& measured, std::function<void()> refresh,
@@ -28,9 +26,6 @@
     /// Adds a section to the state dump; sections are written in the order of their names.
     void add_section(const std::string& name, section write) { sections_[name] = std::move(write); }
 
-    /// Answers requests whose first path segment is `first`.
-    void add_route(const std::string& first, route answer) { routes_[first] = std::move(answer); }
-
     [[nodiscard]] std::string state_json() const;
 
 private:
@@ -40,7 +35,6 @@
     std::function<void()> refresh_;
     std::function<std::optional<error>()> unfit_;
     std::map<std::string, section> sections_;
-    std::map<std::string, route> routes_;
     http_server server_;
 };
 
--- a/src/skylarkseam/shell/metrics.cpp
+++ b/src/skylarkseam/shell/metrics.cpp
@@ -100,21 +100,4 @@
     return out.str();
 }
 
-double metrics::quantile_us(const std::string& name, const std::string& label, double quantile) const {
-    const auto found = impl_->latencies.find({name, label});
-    if (found == impl_->latencies.end()) {
-        return 0.0;
-    }
-    const auto& value = found->second;
-    const double wanted = quantile * static_cast<double>(value.count);
-    double below = static_cast<double>(value.histogram.at(-1));
-    for (const auto& cell : bh::indexed(value.histogram)) {
-        below += static_cast<double>(*cell);
-        if (below >= wanted) {
-            return cell.bin().upper();
-        }
-    }
-    return longest_us;
-}
-
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/metrics.hpp
+++ b/src/skylarkseam/shell/metrics.hpp
@@ -28,10 +28,6 @@
     /// The Prometheus text format, version 0.0.4; every name is preceded by "skylarkseam_".
     [[nodiscard]] std::string prometheus_text() const;
 
-    /// An upper bound of a quantile of one histogram, in microseconds; 0 where nothing was observed.
-    [[nodiscard]] double quantile_us(const std::string& name, const std::string& label,
-                                     double quantile) const;
-
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
