A stopping gateway closes its listening socket once the balancer knows, and ends between two requests

Change: next_stop_step (gateway/stop_plan.hpp): after 2.6 s no new connections are taken, and the process ends as soon as nothing is open. Its test states the steps; the old rule had no step between serving and cutting.

--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -27,10 +27,9 @@
     , timer_(loop, [this] { deliver(gateway_event::time_passed{}); }) {}
 
 void gateway_front::take(incoming_request request, respond answer) {
-    last_request_ = loop_.now();
     auto event = to_gateway_request(request, binding_.dialect);
     const auto token = request.id;
-    open_[token] = {std::move(request), std::move(answer), last_request_};
+    open_[token] = {std::move(request), std::move(answer), loop_.now()};
     deliver(gateway_event::request_arrived{std::move(event)});
 }
 
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -40,8 +40,6 @@
     [[nodiscard]] const upstream_pool_counters& pool() const { return pool_.counters(); }
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] std::uint64_t rejected() const { return server_.rejected(); }
-    /// When the last request came in.
-    [[nodiscard]] time_point last_request() const { return last_request_; }
 
 private:
     struct open_request {
@@ -70,7 +68,6 @@
     std::deque<gateway_input> events_;
     bool delivering_ = false;
     bool draining_ = false;
-    time_point last_request_{};
 };
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -1,3 +1,4 @@
+#include <skylarkseam/gateway/stop_plan.hpp>
 #include <skylarkseam/shell/admin_service.hpp>
 #include <skylarkseam/shell/gateway_front.hpp>
 #include <skylarkseam/shell/gateway_node.hpp>
@@ -10,10 +11,7 @@
 namespace skylarkseam {
 namespace {
 
-constexpr duration drain_check_interval = milliseconds(50);
-constexpr duration balancer_notice = milliseconds(2600); ///< two looks a second apart, and one to spare
-constexpr duration quiet_before_end = milliseconds(300); ///< without a new request
-constexpr duration end_margin = milliseconds(400);       ///< before the process is killed
+constexpr duration drain_check_interval = milliseconds(20);
 constexpr std::uint32_t readiness_connections = 32;
 
 http_limits limits_of(const node_limits& limits) {
@@ -196,21 +194,33 @@
     }
 
     void check_drained() {
-        const auto now = loop_.now();
-        const auto since = now - drain_began_;
-        if (since >= settings_.gateway->stop_grace - end_margin) {
+        const auto since = loop_.now() - drain_began_;
+        switch (next_stop_step(since, settings_.gateway->stop_grace, front_.open_requests())) {
+        case stop_step::serve:
+            break;
+        case stop_step::refuse_new:
+            stop_listening();
+            break;
+        case stop_step::end:
+            stop_listening();
+            loop_.stop();
+            return;
+        case stop_step::cut:
             front_.refuse_open();
             loop_.post([this] { loop_.stop(); });
             return;
         }
-        const bool quiet = front_.open_requests() == 0 && now - front_.last_request() >= quiet_before_end;
-        if (since >= balancer_notice && quiet) {
-            loop_.stop();
-            return;
-        }
         loop_.run_after(drain_check_interval, [this] { check_drained(); });
     }
 
+    void stop_listening() {
+        if (listening_) {
+            listening_ = false;
+            front_.stop_listening();
+            log_event(log_level::info, "not_listening", {{"open_requests", front_.open_requests()}});
+        }
+    }
+
     node_settings settings_;
     platform_binding binding_;
     std::function<std::optional<node_settings>()> reload_;
@@ -222,6 +232,7 @@
     knowledge_runner knowledge_;
     bool complete_ = false; ///< every searcher's registration is known
     bool draining_ = false;
+    bool listening_ = true; ///< for clients
     time_point drain_began_{};
     int exit_code_ = 0;
 };
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -3,6 +3,7 @@
 #include <skylarkseam/gateway/extra_budget.hpp>
 #include <skylarkseam/gateway/record_merge.hpp>
 #include <skylarkseam/gateway/routing.hpp>
+#include <skylarkseam/gateway/stop_plan.hpp>
 #include <skylarkseam/gateway/traffic_split.hpp>
 #include <skylarkseam/gateway/wait_list.hpp>
 
@@ -138,3 +139,18 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_gateway_that_stops)
+
+BOOST_AUTO_TEST_CASE(takes_nothing_new_once_the_balancer_knows_and_ends_between_two_requests) {
+    constexpr duration grace = seconds(6);
+    BOOST_TEST((next_stop_step(milliseconds(0), grace, 0) == stop_step::serve));
+    BOOST_TEST((next_stop_step(milliseconds(2500), grace, 3) == stop_step::serve));
+    BOOST_TEST((next_stop_step(milliseconds(2600), grace, 3) == stop_step::refuse_new));
+    // Clients that go on coming do not keep it until its time is up, when a request would be cut.
+    BOOST_TEST((next_stop_step(milliseconds(2700), grace, 0) == stop_step::end));
+    BOOST_TEST((next_stop_step(milliseconds(5590), grace, 1) == stop_step::refuse_new));
+    BOOST_TEST((next_stop_step(milliseconds(5600), grace, 1) == stop_step::cut));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
