A stopping gateway ends only when its answers are written

Change: requests are open until the server has written their answers; answers that are cut by the end get 100 ms to be written.

--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -38,7 +38,8 @@
 
     [[nodiscard]] gateway& decisions() { return gateway_; }
     [[nodiscard]] const upstream_pool_counters& pool() const { return pool_.counters(); }
-    [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
+    /// Requests whose answers have not been written whole.
+    [[nodiscard]] std::size_t open_requests() const { return server_.open_requests(); }
     [[nodiscard]] std::uint64_t rejected() const { return server_.rejected(); }
 
 private:
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -11,6 +11,7 @@
 namespace skylarkseam {
 namespace {
 
+constexpr duration last_write_time = milliseconds(100); ///< for answers that were given just before the end
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr std::uint32_t readiness_connections = 32;
 
@@ -207,7 +208,7 @@
             return;
         case stop_step::cut:
             front_.refuse_open();
-            loop_.post([this] { loop_.stop(); });
+            loop_.run_after(last_write_time, [this] { loop_.stop(); });
             return;
         }
         loop_.run_after(drain_check_interval, [this] { check_drained(); });
