--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -88,7 +88,9 @@
              {R"("Sequence":3)", R"("Sequence":null)"},
          }) {
         const auto other = replaced(entry, from, to);
-        const auto answer = read(listing(store_kind::searchers), page_of(other + "," + entry));
+        std::string items = other;
+        items.append(",").append(entry);
+        const auto answer = read(listing(store_kind::searchers), page_of(items));
         BOOST_TEST_REQUIRE(answer.page.entries.size() == 2U);
         const auto* const fault = std::get_if<unreadable_entry>(&answer.page.entries[0].value);
         BOOST_TEST_REQUIRE(fault != nullptr, to);
