--- a/src/skylarkseam/shell/upstream_pool.cpp
+++ b/src/skylarkseam/shell/upstream_pool.cpp
@@ -67,14 +67,11 @@
     }
 
     std::optional<std::uint64_t> take_idle(const std::string& address) {
-        const auto found = idle.find(address);
-        if (found == idle.end()) {
-            return std::nullopt;
-        }
-        auto& keys = found->second;
-        while (!keys.empty()) {
-            const auto key = keys.back();
-            keys.pop_back();
+        // remove() drops the address's list with its last connection, so that it is looked up each time.
+        for (auto found = idle.find(address); found != idle.end() && !found->second.empty();
+             found = idle.find(address)) {
+            const auto key = found->second.back();
+            found->second.pop_back();
             const auto it = connections.find(key);
             if (it == connections.end() || !it->second.connection->idle()) {
                 continue;
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -59,6 +59,15 @@
     BOOST_TEST(server.accepted == 1);
 }
 
+BOOST_AUTO_TEST_CASE(uses_no_connection_beyond_the_time_that_its_peer_states) {
+    // The last connection to an address goes as the next request looks for one.
+    script = [](const auto&) { return scripted_server::reply{answer("hello", "Keep-Alive: timeout=0\r\n")}; };
+    for (int n = 1; n <= 50; ++n) {
+        BOOST_TEST(fetch().response->body == "hello");
+        BOOST_TEST(server.accepted == n);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(whose_peer_closes)
 
 BOOST_AUTO_TEST_CASE(an_idle_connection_opens_another) {
