A gateway that follows one which has just started becomes complete with it

Cause: a follower held itself for complete only on a whole update that came after its source's listing. Where it first asked while the source still listed the store, all later updates were not whole, and it stayed not ready, and refused every request, until its source changed. Ruled out: the store and the peers, which all answered.

Change: what an update completes is decided in the core (knowledge::take): who has taken everything from a source that is complete, in however many steps, is complete; that is news that a held call is answered for at once.

--- a/src/skylarkseam/gateway/knowledge.cpp
+++ b/src/skylarkseam/gateway/knowledge.cpp
@@ -47,6 +47,31 @@
     return true;
 }
 
+knowledge_changes knowledge::take(const knowledge_update& update) {
+    knowledge_changes changes;
+    std::set<std::string> named;
+    for (const auto& it : update.registrations) {
+        named.insert(it.id);
+        if (take(it)) {
+            changes.registrations.push_back(it);
+        }
+    }
+    const auto revision = update.revisions[static_cast<std::size_t>(store_kind::searchers)];
+    if (update.whole && revision > 0) {
+        const auto gone = retain_searchers(named, revision, false);
+        changes.registrations.insert(changes.registrations.end(), gone.begin(), gone.end());
+    }
+    for (const auto& it : update.evacuations) {
+        if (take(it)) {
+            changes.evacuations.push_back(it);
+        }
+    }
+    for (const auto kind : store_kinds) {
+        advance(kind, update.revisions[static_cast<std::size_t>(kind)]);
+    }
+    return changes;
+}
+
 std::vector<registration> knowledge::retain_searchers(const std::set<std::string>& listed,
                                                       std::uint64_t revision, bool store_was_away) {
     std::vector<registration> gone;
@@ -76,6 +101,9 @@
 void knowledge::advance(store_kind kind, std::uint64_t revision) {
     auto& it = revisions_[static_cast<std::size_t>(kind)];
     it = std::max(it, revision);
+    if (kind == store_kind::searchers && revision > 0 && completed_ == 0) {
+        completed_ = ++sequence_;
+    }
 }
 
 void knowledge::confirm(time_point when) {
@@ -100,6 +128,7 @@
             update.evacuations.push_back(it.value);
         }
     }
+    update.completes = completed_ > 0 && completed_ >= first;
     if (routing_.version > from.routing_version) {
         update.routing = routing_;
     }
--- a/src/skylarkseam/gateway/knowledge.hpp
+++ b/src/skylarkseam/gateway/knowledge.hpp
@@ -56,8 +56,18 @@
     std::vector<evacuation> evacuations;
     std::optional<routing_source> routing;
     duration age{}; ///< since the store confirmed all of it
+    /// The reader learns from it that it has every registration; `revisions` says so on the wire.
+    bool completes = false;
 
-    [[nodiscard]] bool empty() const { return registrations.empty() && evacuations.empty() && !routing; }
+    [[nodiscard]] bool empty() const {
+        return registrations.empty() && evacuations.empty() && !routing && !completes;
+    }
+};
+
+/// What an update changed, for those who act on it.
+struct knowledge_changes {
+    std::vector<registration> registrations;
+    std::vector<evacuation> evacuations;
 };
 
 class knowledge {
@@ -70,6 +80,10 @@
     bool take(const evacuation& it);
     bool take(const routing_source& it);
 
+    /// Takes an update that follows what its sender has sent before; all but the configuration, whose text
+    /// only the platform's adapter reads.
+    knowledge_changes take(const knowledge_update& update);
+
     /// Everything of a kind up to `revision` is known; what was not named has gone.
     std::vector<registration> retain_searchers(const std::set<std::string>& listed, std::uint64_t revision,
                                                bool store_was_away);
@@ -87,6 +101,8 @@
 
     [[nodiscard]] std::set<std::string> evacuated_zones() const;
     [[nodiscard]] const routing_source& routing() const { return routing_; }
+    /// Every registration is known, from a listing of the store or from another gateway that is complete.
+    [[nodiscard]] bool complete() const { return completed_ > 0; }
     [[nodiscard]] std::size_t searchers() const { return registrations_.size() - gone_; }
     [[nodiscard]] const store_revisions& revisions() const { return revisions_; }
 
@@ -101,6 +117,7 @@
     std::uint64_t epoch_;
     std::uint64_t sequence_ = 0;
     std::uint64_t oldest_sequence_ = 0; ///< a reader before it gets everything
+    std::uint64_t completed_ = 0;       ///< sequence at which it became complete; 0: it is not
     std::map<std::string, versioned<registration>> registrations_;
     std::size_t gone_ = 0; ///< of the registrations, those whose entries have gone
     std::map<std::string, versioned<evacuation>> evacuations_;
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -127,39 +127,16 @@
 }
 
 void knowledge_runner::take_update(const knowledge_update& update, const std::string& address) {
-    std::vector<registration> changes;
-    std::set<std::string> named;
-    for (const auto& it : update.registrations) {
-        named.insert(it.id);
-        if (known_.take(it)) {
-            changes.push_back(it);
-        }
-    }
-    const auto revision = update.revisions[static_cast<std::size_t>(store_kind::searchers)];
-    if (update.whole && revision > 0) {
-        const auto gone = known_.retain_searchers(named, revision, false);
-        changes.insert(changes.end(), gone.begin(), gone.end());
-    }
-    apply(changes);
-    if (update.whole && revision > 0) {
-        note_complete();
-    }
-    std::vector<evacuation> zones;
-    for (const auto& it : update.evacuations) {
-        if (known_.take(it)) {
-            zones.push_back(it);
-        }
-    }
-    apply(zones);
+    const auto changes = known_.take(update);
+    apply(changes.registrations);
+    apply(changes.evacuations);
     if (update.routing && update.routing->version > known_.routing().version) {
         auto value = binding_.read_routing(update.routing->text);
         if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&value)) {
             apply(*update.routing, std::move(*table));
         }
     }
-    for (const auto kind : store_kinds) {
-        known_.advance(kind, update.revisions[static_cast<std::size_t>(kind)]);
-    }
+    note_complete();
     if (update.age < timing.stale) {
         known_.confirm(loop_.now() - update.age);
     }
@@ -214,11 +191,9 @@
     } else if (event.kind == store_kind::evacuations) {
         apply(known_.retain_evacuations(event.names, event.revision));
     }
-    if (event.kind == store_kind::searchers) {
-        note_complete();
-    }
     known_.advance(event.kind, event.revision);
     known_.confirm(loop_.now());
+    note_complete();
     log_event(log_level::info, "listed",
               {{"kind", name_of(event.kind)}, {"entries", event.names.size()}, {"revision", event.revision}});
 }
@@ -256,7 +231,7 @@
 }
 
 void knowledge_runner::note_complete() {
-    if (!complete_) {
+    if (known_.complete() && !complete_) {
         complete_ = true;
         handlers_.on_complete();
     }
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -233,6 +233,61 @@
     BOOST_TEST(known.evacuated_zones().count("z") == 1U);
 }
 
+BOOST_AUTO_TEST_SUITE(passed_on_by_a_gateway_that_has_just_started)
+
+// A gateway is followed from its first moment on, while it still lists the store.
+struct starting_fixture {
+    knowledge source{7};
+    knowledge reader{8};
+    knowledge_position at;
+    time_point now{seconds(1)};
+
+    knowledge_update follow() {
+        const auto update = source.update_since(at, now);
+        reader.take(update);
+        at = {update.epoch, update.sequence, 0};
+        return update;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(is_complete_for_the_reader_once_the_listing_has_ended, starting_fixture) {
+    source.take(registration{"a", 5, record("a"), false});
+    BOOST_TEST(follow().whole);
+    BOOST_TEST(!reader.complete());
+
+    source.take(registration{"b", 6, record("b"), false});
+    source.advance(store_kind::searchers, 10);
+    BOOST_TEST(source.complete());
+    BOOST_TEST(!follow().whole);
+    BOOST_TEST(reader.complete());
+    BOOST_TEST(reader.searchers() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_with_news_even_where_the_last_page_names_nobody, starting_fixture) {
+    source.take(registration{"a", 5, record("a"), false});
+    follow();
+    source.advance(store_kind::searchers, 10);
+    BOOST_TEST(!source.update_since(at, now).empty());
+    follow();
+    BOOST_TEST(reader.complete());
+    BOOST_TEST(source.update_since(at, now).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(reaches_readers_of_the_reader_too, starting_fixture) {
+    knowledge third(9);
+    const auto early = reader.update_since({}, now);
+    third.take(early);
+    source.take(registration{"a", 5, record("a"), false});
+    source.advance(store_kind::searchers, 10);
+    follow();
+    const auto later = reader.update_since({early.epoch, early.sequence, 0}, now);
+    BOOST_TEST(!later.empty());
+    third.take(later);
+    BOOST_TEST(third.complete());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(drops_what_a_newer_listing_does_not_name) {
     knowledge known(1);
     known.take(registration{"old", 5, record("old"), false});
