Divide a searcher's connections by zones before hosts, and count hosts as they are

Ruled out: the budget for extra attempts (0.03 of the parts against 0.2) and the searchers' slots.

Change: host_census counts hosts on the careful side (30 s memory, zones not heard of yet count like the largest), least_hosts holds for the first 2 s only, and each zone has an equal part of the connections.

The census has its own cases.

--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -46,9 +46,9 @@
     bool set_table(std::shared_ptr<const routing_table> table, time_point now, output& out);
     [[nodiscard]] const std::shared_ptr<const routing_table>& table() const { return table_; }
 
-    /// The number of hosts that share the searchers' connections and the budgets.
-    void set_hosts(std::uint32_t hosts) { hosts_ = std::max(1U, hosts); }
-    [[nodiscard]] std::uint32_t hosts() const { return hosts_; }
+    /// The hosts that share the searchers' connections and the budgets.
+    void set_hosts(const host_shares& hosts) { hosts_ = hosts; }
+    [[nodiscard]] const host_shares& hosts() const { return hosts_; }
     void set_extra(const extra_budget_limits& limits) { options_.extra = limits; }
 
     [[nodiscard]] directory& searchers() { return searchers_; }
@@ -124,7 +124,7 @@
     placement placement_;
     pcg32 random_;
     std::shared_ptr<const routing_table> table_ = std::make_shared<routing_table>();
-    std::uint32_t hosts_ = 1;
+    host_shares hosts_;
     bool complete_ = false;
     struct early_request {
         gateway_request request;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -40,8 +40,6 @@
     request.usual = usual_of(*run.route).median();
     request.objective = run.route->objective;
     request.hosts = hosts_;
-    const auto zones = std::max<std::size_t>(1, options_.view.region_of_zone.size());
-    request.hosts_here = std::max(1U, hosts_ / static_cast<std::uint32_t>(zones));
     request.now = now;
     return request;
 }
@@ -154,7 +152,7 @@
     if (!in_time && !rescue) {
         return;
     }
-    if (!budgets_[it.service].try_spend(options_.extra, hosts_, now)) {
+    if (!budgets_[it.service].try_spend(options_.extra, hosts_.all, now)) {
         it.extra_denied = true;
         ++counters_.extra_denied;
         return;
@@ -295,7 +293,7 @@
         return;
     }
     const bool reached_one = it.tried.size() > it.unsent;
-    if (reached_one && !budgets_[it.service].try_spend(options_.extra, hosts_, now)) {
+    if (reached_one && !budgets_[it.service].try_spend(options_.extra, hosts_.all, now)) {
         it.extra_denied = true;
         ++counters_.extra_denied;
         return;
@@ -312,7 +310,7 @@
 }
 
 bool gateway::extra_is_scarce(const std::string& service, time_point now) {
-    return budgets_[service].part_left(options_.extra, hosts_, now) < scarce_part;
+    return budgets_[service].part_left(options_.extra, hosts_.all, now) < scarce_part;
 }
 
 void gateway::settle_refused(const run_ptr& run, time_point now, output& out) {
--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -181,7 +181,7 @@
     return n;
 }
 
-std::uint32_t peer_group::hosts() const {
+std::map<std::string, std::uint32_t> peer_group::hosts_by_zone() const {
     // A zone whose watching gateway has not been heard of counts with those that are known one by one.
     std::map<std::string, std::uint32_t> by_zone;
     for (const auto& [name, it] : members_) {
@@ -191,11 +191,7 @@
         by_zone[zone] = std::max(by_zone[zone], it.hosts);
     }
     by_zone[self_.zone] = hosts_here();
-    std::uint32_t total = 0;
-    for (const auto& [zone, n] : by_zone) {
-        total += n;
-    }
-    return total;
+    return by_zone;
 }
 
 std::optional<time_point> peer_group::next_wakeup() const {
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -81,8 +81,8 @@
     /// Whether this gateway watches the store for its zone.
     [[nodiscard]] bool leads(time_point now) const;
     [[nodiscard]] group_view view_for(const std::string& zone, time_point now) const;
-    /// Gateways of the whole deployment, as far as they are known.
-    [[nodiscard]] std::uint32_t hosts() const;
+    /// Gateways of each zone, as far as they are known.
+    [[nodiscard]] std::map<std::string, std::uint32_t> hosts_by_zone() const;
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
     [[nodiscard]] std::string followed() const { return follow_open_ ? follow_address_ : std::string(); }
     void set_seeds(std::vector<std::string> seeds);
--- a/src/skylarkseam/gateway/placement.hpp
+++ b/src/skylarkseam/gateway/placement.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <skylarkseam/gateway/directory.hpp>
+#include <skylarkseam/gateway/host_census.hpp>
 #include <skylarkseam/gateway/latency_estimate.hpp>
 #include <skylarkseam/gateway/routing.hpp>
 
@@ -19,8 +20,7 @@
     std::span<const known_searcher* const> tried; ///< not to be picked again
     duration usual{};                             ///< latency of such a request
     duration objective{};                         ///< of the client's whole request
-    std::uint32_t hosts = 1;                      ///< that share the searcher's connections
-    std::uint32_t hosts_here = 1;                 ///< of them, those of this host's zone
+    host_shares hosts;                            ///< that share the searcher's connections
     time_point now{};
 };
 
@@ -50,8 +50,10 @@
     /// When the answer of `it` is expected for a request that is sent now.
     [[nodiscard]] duration expected(const known_searcher& it, const placement_request& request) const;
 
-    /// Requests that this host may have open at a searcher.
-    [[nodiscard]] static std::uint32_t connection_share(const gateway_service* service, std::uint32_t hosts);
+    /// Requests that this host may have open at a searcher. Clients come in through all zones alike, so each
+    /// zone has an equal part, whether few hosts share it or many.
+    [[nodiscard]] static std::uint32_t connection_share(const gateway_service* service,
+                                                        const host_shares& hosts);
 
 private:
     const directory& searchers_;
--- a/src/skylarkseam/gateway/settings.hpp
+++ b/src/skylarkseam/gateway/settings.hpp
@@ -18,7 +18,7 @@
     duration extra_window = seconds(10);
     duration stop_grace = seconds(6); ///< from SIGTERM until the process is ended
     bool first_start = false;         ///< the whole deployment starts for the first time, before any client
-    std::uint32_t least_hosts = 8; ///< hosts that connections and budgets are shared by, until more are known
+    std::uint32_t least_hosts = 8;    ///< that share connections and budgets, until the group has met
 };
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -32,6 +32,14 @@
     return options;
 }
 
+host_census census_of(const node_settings& settings, time_point now) {
+    std::set<std::string> zones;
+    for (const auto& [zone, region] : settings.gateway->region_of_zone) {
+        zones.insert(zone);
+    }
+    return {settings.zone, std::move(zones), settings.gateway->least_hosts, now};
+}
+
 class gateway_node {
 public:
     gateway_node(const node_settings& settings, const platform_binding& binding,
@@ -48,9 +56,7 @@
               loop_, limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
         , knowledge_(loop_, binding_, settings.platform_url, peer_limits_of(settings.limits),
-                     std::random_device{}(), handlers()) {
-        front_.decisions().set_hosts(settings.gateway->least_hosts);
-    }
+                     std::random_device{}(), census_of(settings, loop_.now()), handlers()) {}
 
     int run() {
         write_logs_by(loop_);
@@ -107,9 +113,10 @@
             complete_ = true;
             front_.set_complete();
         };
-        out.on_hosts = [this](std::uint32_t hosts) {
-            front_.decisions().set_hosts(std::max(hosts, settings_.gateway->least_hosts));
-            log_event(log_level::info, "hosts", {{"hosts", hosts}});
+        out.on_hosts = [this](const host_shares& hosts) {
+            front_.decisions().set_hosts(hosts);
+            log_event(log_level::info, "hosts",
+                      {{"hosts", hosts.all}, {"hosts_here", hosts.here}, {"zones", hosts.zones}});
         };
         return out;
     }
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -16,7 +16,7 @@
 
 knowledge_runner::knowledge_runner(event_loop& loop, const platform_binding& binding,
                                    const std::string& store_url, peer_limits limits, std::uint64_t epoch,
-                                   knowledge_handlers handlers)
+                                   host_census census, knowledge_handlers handlers)
     : loop_(loop)
     , binding_(binding)
     , limits_(limits)
@@ -26,7 +26,8 @@
     , store_(loop, binding, store_url, epoch,
              [this](std::vector<store_output> events) { take_store(std::move(events)); })
     , known_(epoch)
-    , timer_(loop, [this] { tick(); }) {}
+    , timer_(loop, [this] { tick(); })
+    , census_(std::move(census)) {}
 
 void knowledge_runner::start(const std::string& name, const std::string& zone, const std::string& address,
                              std::vector<std::string> seeds, bool first_start) {
@@ -85,7 +86,8 @@
         log_event(log_level::info, watch ? "watching_store" : "following",
                   {{"peer", group_->followed()}, {"routing_version", known_.routing().version}});
     }
-    const auto hosts = group_->hosts();
+    census_.take(group_->hosts_by_zone(), now);
+    const auto hosts = census_.shares(now);
     if (hosts != hosts_) {
         hosts_ = hosts;
         handlers_.on_hosts(hosts);
@@ -264,7 +266,7 @@
     const auto age = known_.confirmed() ? to_ms(loop_.now() - *known_.confirmed()) : -1;
     return R"({"routing_version":)" + std::to_string(known_.routing().version) + R"(,"searchers":)" +
            std::to_string(known_.searchers()) + R"(,"confirmed_ms_ago":)" + std::to_string(age) +
-           R"(,"hosts":)" + std::to_string(hosts_) + R"(,"watching_store":)" +
+           R"(,"hosts":)" + std::to_string(hosts_.all) + R"(,"watching_store":)" +
            (watching_ ? "true" : "false") + R"(,"followers":)" + std::to_string(held_.size()) + "}";
 }
 
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -2,6 +2,7 @@
 // from the gateway that it follows, and hands it on to those that follow it.
 #pragma once
 
+#include <skylarkseam/gateway/host_census.hpp>
 #include <skylarkseam/gateway/knowledge.hpp>
 #include <skylarkseam/gateway/peer_group.hpp>
 #include <skylarkseam/shell/peer_transport.hpp>
@@ -17,14 +18,15 @@
     std::function<void(const std::vector<registration>& changes)> on_searchers;
     std::function<void(const std::set<std::string>& zones)> on_evacuations;
     std::function<void(std::shared_ptr<const routing_table> table)> on_routing;
-    std::function<void(std::uint32_t hosts)> on_hosts;
+    std::function<void(const host_shares& hosts)> on_hosts;
     std::function<void()> on_complete; ///< every registration is known; called once
 };
 
 class knowledge_runner {
 public:
     knowledge_runner(event_loop& loop, const platform_binding& binding, const std::string& store_url,
-                     peer_limits limits, std::uint64_t epoch, knowledge_handlers handlers);
+                     peer_limits limits, std::uint64_t epoch, host_census census,
+                     knowledge_handlers handlers);
 
     /// \param address  where other gateways reach this one
     void start(const std::string& name, const std::string& zone, const std::string& address,
@@ -76,7 +78,8 @@
     wakeup_timer timer_;
     std::map<std::string, knowledge_position> positions_; ///< of this gateway at the others, by address
     std::vector<held_reply> held_;
-    std::uint32_t hosts_ = 0;
+    host_census census_;
+    host_shares hosts_;
     bool watching_ = false;
     bool complete_ = false;
 };
--- /dev/null
+++ b/tests/gateway/connections_test.cpp
@@ -0,0 +1,111 @@
+// What a host may have open at a searcher: its part of the connections, where zones have few hosts or many.
+#include "gateway_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+time_point at(duration since_start) {
+    return time_point(seconds(100)) + since_start;
+}
+
+// Three hosts for the clients of zone a, one for those of b and two for those of c; each zone has its
+// searcher of every shard, in another region than the others, and searchers pause for 200 ms each 4.5 s.
+struct uneven_fixture {
+    static constexpr std::uint32_t connections = 25;
+    static constexpr std::uint32_t host_of_b = 3;
+
+    gateway_world world{std::vector<std::string>{"a", "a", "a", "b", "c", "c"}};
+    uneven_fixture() {
+        std::vector<std::string> shards;
+        for (int n = 0; n < 10; ++n) {
+            shards.push_back("shard" + std::to_string(n));
+            world.add_service(shards.back(), 2, {"a", "b", "c"}, connections);
+        }
+        auto route = shard_route(shards, 0.89);
+        route.objective = milliseconds(150);
+        world.add_route(route);
+        world.work = milliseconds(6);
+        world.publish();
+        std::int64_t n = 0;
+        for (auto& [name, list] : world.searchers) {
+            for (auto& it : list) {
+                it->behaves.pause = milliseconds(200);
+                it->behaves.pause_every = milliseconds(4500);
+                it->behaves.pause_offset = milliseconds(n++ * 777);
+            }
+        }
+    }
+
+    /// Of the answers of some hosts, those with every part.
+    [[nodiscard]] double whole_share(const std::set<std::uint32_t>& of) const {
+        int asked = 0;
+        int whole = 0;
+        for (const auto& it : world.results) {
+            asked += of.contains(it.host) ? 1 : 0;
+            whole += of.contains(it.host) && it.status == 200 && it.missing == 0 ? 1 : 0;
+        }
+        return static_cast<double>(whole) / asked;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(parts_of_the_connections)
+
+BOOST_FIXTURE_TEST_CASE(are_equal_for_zones_and_not_for_hosts, uneven_fixture) {
+    for (int n = 0; n < 9; ++n) { // in each zone three that are slow
+        world.at("shard" + std::to_string(n), static_cast<std::size_t>(n) % 3).behaves.slow = 8.0;
+    }
+    for (const auto* const zone : {"a", "b", "c"}) {
+        world.load_zone(zone, "/search/x", 82.0, seconds(20));
+    }
+    world.run_for(seconds(22));
+    const auto elsewhere = std::min(whole_share({0, 1, 2}), whole_share({4, 5}));
+    BOOST_TEST(whole_share({host_of_b}) >= elsewhere - 0.01);
+    for (const auto& [name, list] : world.searchers) {
+        for (const auto& it : list) {
+            BOOST_TEST(it->most_open <= connections, name);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_census_of_hosts)
+
+BOOST_AUTO_TEST_CASE(counts_as_its_settings_say_until_the_group_has_met) {
+    host_census census("a", {"a", "b", "c"}, 8, at({}));
+    census.take({{"a", 1}}, at(milliseconds(10)));
+    BOOST_TEST((census.shares(at(milliseconds(10))) == host_shares{8, 3, 3}));
+
+    census.take({{"a", 3}, {"b", 1}, {"c", 2}}, at(milliseconds(900)));
+    BOOST_TEST((census.shares(at(seconds(3))) == host_shares{6, 3, 3}));
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_zone_that_was_never_heard_of_for_the_largest) {
+    host_census census("a", {"a", "b", "c"}, 1, at({}));
+    census.take({{"a", 3}, {"b", 1}}, at(seconds(3)));
+    BOOST_TEST((census.shares(at(seconds(3))) == host_shares{7, 3, 3}));
+
+    BOOST_TEST_CONTEXT("until it is clear that no gateway is there") {
+        census.take({{"a", 3}, {"b", 1}}, at(seconds(31)));
+        BOOST_TEST((census.shares(at(seconds(31))) == host_shares{4, 3, 2}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_part_of_hosts_that_are_not_heard_of_for_a_while) {
+    host_census census("a", {"a", "b"}, 1, at({}));
+    census.take({{"a", 2}, {"b", 2}}, at(seconds(3)));
+    census.take({{"a", 1}}, at(seconds(20)));
+    BOOST_TEST((census.shares(at(seconds(20))) == host_shares{4, 2, 2}));
+    census.take({{"a", 1}}, at(seconds(40)));
+    BOOST_TEST((census.shares(at(seconds(40))) == host_shares{1, 1, 1}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -25,6 +25,14 @@
     return answer;
 }
 
+std::uint32_t hosts_of(const peer_group& group) {
+    std::uint32_t n = 0;
+    for (const auto& [zone, hosts] : group.hosts_by_zone()) {
+        n += hosts;
+    }
+    return n;
+}
+
 struct follower_fixture {
     time_point now{seconds(50)};
     store_follower follower{{}, 1};
@@ -312,7 +320,7 @@
     const std::vector<std::string> expected{"a0", "b0", "c0"};
     BOOST_TEST(watching() == expected, boost::test_tools::per_element());
     for (auto& [name, node] : nodes) {
-        BOOST_TEST(node->hosts() == 15U, name);
+        BOOST_TEST(hosts_of(*node) == 15U, name);
     }
 
     // When a watching one goes, another one of its zone takes over, and it is counted out.
@@ -321,7 +329,7 @@
     const std::vector<std::string> next{"a0", "b1", "c0"};
     BOOST_TEST(watching() == next, boost::test_tools::per_element());
     run_for(seconds(12));
-    BOOST_TEST(nodes.at("a0")->hosts() == 14U);
+    BOOST_TEST(hosts_of(*nodes.at("a0")) == 14U);
 }
 
 BOOST_AUTO_TEST_CASE(is_not_needed_for_a_gateway_alone) {
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -1,12 +1,22 @@
 #include "gateway_world.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace skylarkseam::testing {
 namespace {
 
 const std::vector<std::string> zone_names{"a", "b", "c"};
 
+std::vector<std::string> zones_in_turn(std::uint32_t hosts) {
+    std::vector<std::string> out;
+    for (std::uint32_t n = 0; n < hosts; ++n) {
+        out.push_back(zone_names[n % zone_names.size()]);
+    }
+    return out;
+}
+
 std::map<std::string, std::string> regions() {
     return {{"a", "north"}, {"b", "east"}, {"c", "south"}};
 }
@@ -40,15 +50,21 @@
 }
 
 gateway_world::gateway_world(std::uint32_t host_count, std::uint64_t seed)
-    : random_(seed) {
-    for (std::uint32_t n = 0; n < host_count; ++n) {
+    : gateway_world(zones_in_turn(host_count), seed) {}
+
+gateway_world::gateway_world(const std::vector<std::string>& host_zones, std::uint64_t seed)
+    : random_(seed)
+    , host_zones_(host_zones) {
+    const std::set<std::string> used(host_zones.begin(), host_zones.end());
+    for (const auto& zone : host_zones) {
         gateway_options options;
-        const auto& zone = zone_names[n % zone_names.size()];
         options.view = {zone, regions().at(zone), regions()};
         options.extra = {0.2, 56.0, seconds(10)};
-        options.seed = seed * 100 + n;
+        options.seed = seed * 100 + hosts.size();
         hosts.push_back(std::make_unique<gateway>(options));
-        hosts.back()->set_hosts(host_count);
+        const auto here = std::count(host_zones.begin(), host_zones.end(), zone);
+        hosts.back()->set_hosts({static_cast<std::uint32_t>(host_zones.size()),
+                                 static_cast<std::uint32_t>(here), static_cast<std::uint32_t>(used.size())});
     }
 }
 
@@ -131,12 +147,30 @@
 }
 
 void gateway_world::load(const std::string& path, double per_second, duration time) {
+    std::vector<std::uint32_t> to(hosts.size());
+    std::iota(to.begin(), to.end(), 0U);
+    load_hosts(to, path, per_second, time);
+}
+
+void gateway_world::load_zone(const std::string& zone, const std::string& path, double per_second,
+                              duration time) {
+    std::vector<std::uint32_t> to;
+    for (std::uint32_t n = 0; n < hosts.size(); ++n) {
+        if (host_zones_[n] == zone) {
+            to.push_back(n);
+        }
+    }
+    load_hosts(to, path, per_second, time);
+}
+
+void gateway_world::load_hosts(const std::vector<std::uint32_t>& to, const std::string& path,
+                               double per_second, duration time) {
     duration at{};
-    std::uint32_t host = 0;
+    std::size_t next = 0;
     while (at < time) {
         at += duration(static_cast<std::int64_t>(-std::log(1.0 - uniform()) * 1e6 / per_second));
+        const auto host = to[next++ % to.size()];
         after(at, [this, path, host] { ask(path, host); });
-        host = (host + 1) % static_cast<std::uint32_t>(hosts.size());
     }
 }
 
@@ -173,14 +207,19 @@
             const auto found = self.flights_.find(key);
             if (found != self.flights_.end()) {
                 found->second->cancelled = true;
-                self.flights_.erase(found);
+                self.end_flight(key);
             }
         }
         void operator()(const gateway_action::answer& it) const {
             const auto asked = self.asked_.at(it.token);
-            client_result result{
-                it.token, asked.id, 200, it.summary.parts, it.summary.parts_missing, self.now - asked.when,
-                {}};
+            client_result result{it.token,
+                                 asked.id,
+                                 200,
+                                 host,
+                                 it.summary.parts,
+                                 it.summary.parts_missing,
+                                 self.now - asked.when,
+                                 {}};
             if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
                 result.status = refused->status;
                 result.retry_after = refused->retry_after;
@@ -199,13 +238,14 @@
 }
 
 duration gateway_world::link(std::uint32_t host, const model_searcher& it) const {
-    return zone_names[host % zone_names.size()] == it.record.zone ? in_zone : cross_region;
+    return host_zones_[host] == it.record.zone ? in_zone : cross_region;
 }
 
 void gateway_world::send(std::uint32_t host, const gateway_action::send& action) {
-    auto to = std::make_shared<flight>(flight{host, action.id, false});
-    flights_[(attempt_id{host} << 48U) | action.id] = to;
     auto& target = *by_address_.at(action.address);
+    auto to = std::make_shared<flight>(flight{host, action.id, &target, false});
+    flights_[(attempt_id{host} << 48U) | action.id] = to;
+    target.most_open = std::max(target.most_open, ++target.open);
     const auto id = asked_.at(action.token).id;
     after(link(host, target), [this, &target, to, id] { arrive(target, to, id); });
 }
@@ -271,13 +311,19 @@
     });
 }
 
+void gateway_world::end_flight(attempt_id key) {
+    const auto found = flights_.find(key);
+    --found->second->target->open;
+    flights_.erase(found);
+}
+
 void gateway_world::reply(const model_searcher& from, const std::shared_ptr<flight>& to,
                           attempt_result result) {
     after(link(to->host, from), [this, to, result = std::move(result)] {
         if (to->cancelled) {
             return;
         }
-        flights_.erase((attempt_id{to->host} << 48U) | to->id);
+        end_flight((attempt_id{to->host} << 48U) | to->id);
         handle(to->host, gateway_event::attempt_ended{to->id, result});
     });
 }
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -34,6 +34,8 @@
     searcher_behaviour behaves;
     std::uint32_t queue_limit = 24;
     std::uint32_t running = 0;
+    std::uint32_t open = 0;      ///< requests that hosts have open here, as far as they know
+    std::uint32_t most_open = 0; ///< at any time
     std::uint64_t arrivals = 0;
     std::vector<std::function<void()>> queued;
 };
@@ -43,6 +45,7 @@
     request_token token = 0;
     std::string id;
     int status = 0;
+    std::uint32_t host = 0;
     std::uint32_t parts = 0;
     std::uint32_t missing = 0;
     duration latency{};
@@ -54,7 +57,10 @@
     static constexpr duration in_zone = microseconds(200);
     static constexpr duration cross_region = milliseconds(20);
 
+    /// Hosts lie in the zones a, b and c in turn.
     explicit gateway_world(std::uint32_t hosts = 1, std::uint64_t seed = 1);
+    /// \param host_zones  the zone of each host, of a, b and c
+    explicit gateway_world(const std::vector<std::string>& host_zones, std::uint64_t seed = 1);
 
     /// \param zones  one searcher in each
     void add_service(const std::string& name, std::uint32_t slots, const std::vector<std::string>& zones,
@@ -75,6 +81,8 @@
     void leave(request_token token, std::uint32_t host = 0);
     /// A steady rate over all hosts for `time`.
     void load(const std::string& path, double per_second, duration time);
+    /// The same over the hosts of one zone.
+    void load_zone(const std::string& zone, const std::string& path, double per_second, duration time);
 
     /// Requests of a service that ran, and how often each; by id.
     [[nodiscard]] std::map<std::string, int> runs_of(const std::string& service) const;
@@ -98,6 +106,7 @@
     struct flight {
         std::uint32_t host = 0;
         attempt_id id = 0;
+        model_searcher* target = nullptr;
         bool cancelled = false;
     };
 
@@ -108,11 +117,15 @@
     void run(model_searcher& it, const std::shared_ptr<flight>& to, const std::string& id);
     void reply(const model_searcher& from, const std::shared_ptr<flight>& to, attempt_result result);
     void wake(std::uint32_t host);
+    void load_hosts(const std::vector<std::uint32_t>& to, const std::string& path, double per_second,
+                    duration time);
+    void end_flight(attempt_id key);
     [[nodiscard]] duration link(std::uint32_t host, const model_searcher& it) const;
     [[nodiscard]] duration pause_left(const model_searcher& it) const;
     double uniform() { return random_() / 4294967296.0; }
 
     pcg32 random_;
+    std::vector<std::string> host_zones_;
     std::shared_ptr<routing_table> table_ = std::make_shared<routing_table>();
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
