Remove what nobody calls in the connection pool; name a spent budget in the log; one way to pack a list

Left from the last reading of the code. upstream_pool::prepare and retire had no caller in the product, and prepare only its test, which goes with it: no connection is opened in advance on any path. request_part::extra_denied was written and never read; it now tells, behind a missing part's reason, that the budget had no second attempt left.

--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -86,6 +86,7 @@
         text += text.empty() ? "" : ",";
         text += it.service + ":";
         text += it.state == part_state::failed ? name_of(it.reason) : part_state_names.name_of(it.state);
+        text += it.extra_denied ? "+budget_spent" : "";
     }
     return text;
 }
--- a/src/skylarkseam/shell/upstream_pool.cpp
+++ b/src/skylarkseam/shell/upstream_pool.cpp
@@ -5,15 +5,12 @@
 namespace skylarkseam {
 namespace {
 
-constexpr duration prepare_timeout = seconds(1);
-
 /// One connection, what it is used for, and its timer while it opens.
 struct pooled {
     std::unique_ptr<upstream_connection> connection;
     std::string address;
     upstream_call_id call = 0; ///< 0: none
     timer_id connect_timer = -1;
-    bool retired = false;
 };
 
 } // namespace
@@ -100,12 +97,7 @@
             id = it->second.call;
             it->second.call = 0;
             stop_timer(it->second);
-            if (it->second.retired) {
-                it->second.connection->close();
-                remove(key);
-            } else {
-                idle[it->second.address].push_back(key);
-            }
+            idle[it->second.address].push_back(key);
         }
         if (calls.erase(id) > 0) {
             on_result(id, std::move(result));
@@ -177,30 +169,6 @@
     }
 }
 
-void upstream_pool::prepare(const std::string& address) {
-    if (impl_->open_to.contains(address)) {
-        return;
-    }
-    const auto key = impl_->open(address, prepare_timeout);
-    impl_->idle[address].push_back(key);
-}
-
-void upstream_pool::retire(const std::string& address) {
-    std::vector<std::uint64_t> keys;
-    for (auto& [key, it] : impl_->connections) {
-        if (it.address == address) {
-            it.retired = true;
-            if (it.call == 0) {
-                keys.push_back(key);
-            }
-        }
-    }
-    for (const auto key : keys) {
-        impl_->connections.at(key).connection->close();
-        impl_->remove(key);
-    }
-}
-
 const upstream_pool_counters& upstream_pool::counters() const {
     impl_->counters.connections = impl_->connections.size();
     return impl_->counters;
--- a/src/skylarkseam/shell/upstream_pool.hpp
+++ b/src/skylarkseam/shell/upstream_pool.hpp
@@ -43,12 +43,6 @@
     /// Closes the connection of a call, whose result is not reported any more.
     void cancel(upstream_call_id id);
 
-    /// Opens a connection in advance, where none is open to the address.
-    void prepare(const std::string& address);
-
-    /// Closes idle connections to the address; those in use are closed after their request.
-    void retire(const std::string& address);
-
     [[nodiscard]] const upstream_pool_counters& counters() const;
 
 private:
--- a/src/skylarkseam/wire/gateway_codec.cpp
+++ b/src/skylarkseam/wire/gateway_codec.cpp
@@ -36,12 +36,11 @@
     to.pack_array(view_fields);
     pack(to, it.sender);
     to.pack(it.leaving);
-    to.pack_array(static_cast<std::uint32_t>(it.members.size()));
-    for (const auto& member : it.members) {
+    pack_list(to, it.members, [&](const auto& member) {
         to.pack_array(sighting_fields);
         pack(to, member.who);
         to.pack(member.age.count());
-    }
+    });
     to.pack_array(static_cast<std::uint32_t>(it.hosts_of_zone.size()));
     for (const auto& [zone, counted] : it.hosts_of_zone) {
         to.pack_array(zone_fields);
@@ -131,17 +130,13 @@
     to.pack(it.sequence);
     to.pack(it.whole);
     to.pack(it.revisions);
-    to.pack_array(static_cast<std::uint32_t>(it.registrations.size()));
-    for (const auto& one : it.registrations) {
-        pack(to, one);
-    }
-    to.pack_array(static_cast<std::uint32_t>(it.evacuations.size()));
-    for (const auto& one : it.evacuations) {
+    pack_list(to, it.registrations, [&](const auto& one) { pack(to, one); });
+    pack_list(to, it.evacuations, [&](const auto& one) {
         to.pack_array(evacuation_fields);
         to.pack(one.zone);
         to.pack(one.revision);
         to.pack(one.active);
-    }
+    });
     if (it.routing) {
         to.pack_array(routing_fields);
         to.pack(it.routing->version);
--- a/src/skylarkseam/wire/msgpack_message.hpp
+++ b/src/skylarkseam/wire/msgpack_message.hpp
@@ -33,6 +33,15 @@
     return {buf.data(), buf.size()};
 }
 
+/// Packs a list; `write` packs one element.
+template <typename List, typename Write>
+void pack_list(packer& to, const List& list, Write write) {
+    to.pack_array(static_cast<std::uint32_t>(list.size()));
+    for (const auto& it : list) {
+        write(it);
+    }
+}
+
 /// Reads the elements of one array in order; a missing one or one of another type throws msgpack::type_error.
 class field_reader {
 public:
--- a/src/skylarkseam/wire/peer_codec.cpp
+++ b/src/skylarkseam/wire/peer_codec.cpp
@@ -4,10 +4,6 @@
 namespace skylarkseam {
 namespace {
 
-void pack_snapshots(packer& pack, const std::vector<snapshot_id>& snapshots) {
-    pack.pack(snapshots);
-}
-
 constexpr std::uint32_t subquery_fields = 4;
 constexpr std::uint32_t hit_fields = 3;
 constexpr std::uint32_t held_fields = 2;
@@ -46,12 +42,11 @@
     pack.pack(it.slots);
     pack.pack(it.in_flight);
     pack.pack(it.queued);
-    pack.pack_array(static_cast<std::uint32_t>(it.shards.size()));
-    for (const auto& held : it.shards) {
+    pack_list(pack, it.shards, [&](const auto& held) {
         pack.pack_array(held_fields);
         pack.pack(held.shard);
-        pack_snapshots(pack, held.snapshots);
-    }
+        pack.pack(held.snapshots);
+    });
 }
 
 searcher_status read_status(field_reader& from) {
@@ -88,10 +83,7 @@
         pack.pack(batch.query_json);
         pack.pack(batch.limit);
         pack.pack(batch.idempotency_key);
-        pack.pack_array(static_cast<std::uint32_t>(batch.subqueries.size()));
-        for (const auto& it : batch.subqueries) {
-            pack_subquery(pack, it);
-        }
+        pack_list(pack, batch.subqueries, [&](const auto& it) { pack_subquery(pack, it); });
     });
 }
 
@@ -141,14 +133,13 @@
         pack.pack(reply.dispatch_sequence);
         pack.pack(reply.queued.count());
         pack.pack(reply.service.count());
-        pack_snapshots(pack, reply.held);
-        pack.pack_array(static_cast<std::uint32_t>(reply.hits.size()));
-        for (const auto& it : reply.hits) {
+        pack.pack(reply.held);
+        pack_list(pack, reply.hits, [&](const auto& it) {
             pack.pack_array(hit_fields);
             pack.pack(it.id);
             pack.pack(it.score);
             pack.pack(it.json);
-        }
+        });
         pack.pack(reply.detail);
     });
 }
@@ -172,12 +163,8 @@
 }
 
 std::string encode(const std::vector<searcher_status>& status) {
-    return packed(1, [&](packer& pack) {
-        pack.pack_array(static_cast<std::uint32_t>(status.size()));
-        for (const auto& it : status) {
-            pack_status(pack, it);
-        }
-    });
+    return packed(
+        1, [&](packer& pack) { pack_list(pack, status, [&](const auto& it) { pack_status(pack, it); }); });
 }
 
 result<std::vector<searcher_status>> decode_searcher_status(std::string_view bytes) {
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -182,13 +182,4 @@
     BOOST_TEST(pool.counters().connections == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(opens_one_connection_in_advance) {
-    pool.prepare(server.address);
-    pool.prepare(server.address);
-    BOOST_REQUIRE(run_until([&] { return server.accepted == 1; }));
-    run_turns(3);
-    BOOST_TEST(fetch().response->body == "hello");
-    BOOST_TEST(server.accepted == 1);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
