Hold the operator's times for headers and idle connections; bound what open requests hold

Cause: the configuration's times for headers and for idle connections were not read; a client could open a request and send a header now and then for ever. 2,500 open requests with bodies of 1 MB could hold ten times a host's memory, and so could answers of 4 MB that wait for a shard's other parts.

The server's exchanges stand in a file of their own, and the limits from the settings in one place for node and gateway.

--- a/src/skylarkseam/core/settings.hpp
+++ b/src/skylarkseam/core/settings.hpp
@@ -22,14 +22,15 @@
 
 /// What others may send or hold open here.
 struct node_limits {
-    std::size_t body_bytes = 1U << 20U;           ///< of one HTTP request
-    std::size_t header_bytes = 32U << 10U;        ///< of one HTTP request, its first line included
-    std::uint32_t connections = 4096;             ///< accepted HTTP connections on each port
-    std::uint32_t open_requests = 16384;          ///< HTTP requests that wait for their answer
-    std::size_t peer_frame_bytes = 4U << 20U;     ///< of one reply frame between nodes
-    std::size_t peer_request_bytes = 4U << 20U;   ///< of one request body between nodes
-    std::uint32_t peer_streams = 4096;            ///< open streams on one connection between nodes
-    std::uint32_t peer_connections = 2048;        ///< accepted connections from nodes
+    std::size_t body_bytes = 1U << 20U;         ///< of one HTTP request
+    std::size_t header_bytes = 32U << 10U;      ///< of one HTTP request, its first line included
+    std::uint32_t connections = 4096;           ///< accepted HTTP connections on each port
+    std::uint32_t open_requests = 16384;        ///< HTTP requests that wait for their answer
+    std::size_t held_bytes = 64U << 20U;        ///< of the bodies and answers of open HTTP requests together
+    std::size_t peer_frame_bytes = 4U << 20U;   ///< of one reply frame between nodes
+    std::size_t peer_request_bytes = 4U << 20U; ///< of one request body between nodes
+    std::uint32_t peer_streams = 4096;          ///< open streams on one connection between nodes
+    std::uint32_t peer_connections = 2048;      ///< accepted connections from nodes
     std::size_t upstream_body_bytes = 16U << 20U; ///< of one searcher's answer
     std::uint32_t queue_length = 256;             ///< subqueries of one caller that wait for one searcher
 };
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -1,5 +1,6 @@
 // The attempts of a gateway's requests: sending them, sending again what is stuck, and taking their results.
 #include <skylarkseam/gateway/gateway.hpp>
+#include <skylarkseam/gateway/record_merge.hpp>
 #include <skylarkseam/gateway/second_attempts.hpp>
 
 #include <algorithm>
@@ -167,6 +168,11 @@
     if (result.outcome == attempt_outcome::answered && is_success(result.response)) {
         it.state = part_state::answered;
         it.response = std::move(result.response);
+        if (const auto* const plan = run->shards()) {
+            // More of one part cannot be in the answer, and would only be held until the others are in.
+            keep_greatest_records(it.response.body, plan->result_limit);
+            it.response.headers.clear();
+        }
         withdraw_part(it, true, now, out);
         return;
     }
--- a/src/skylarkseam/gateway/record_merge.cpp
+++ b/src/skylarkseam/gateway/record_merge.cpp
@@ -25,4 +25,11 @@
     return body;
 }
 
+void keep_greatest_records(std::string& part, std::size_t limit) {
+    if (part.size() / record_bytes > limit) {
+        const std::string_view whole(part);
+        part = greatest_records({&whole, 1}, limit);
+    }
+}
+
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/routing.hpp
+++ b/src/skylarkseam/gateway/routing.hpp
@@ -62,6 +62,8 @@
 struct client_limits {
     std::size_t header_bytes = 16U << 10U;
     std::size_t body_bytes = 256U << 10U;
+    duration header_timeout = seconds(30); ///< for all headers of a request
+    duration idle_timeout = seconds(60);   ///< of a connection between two requests
 };
 
 /// One version of the configuration, never changed once it is built.
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -149,7 +149,7 @@
     const auto limits = table->limits;
     const bool newer = gateway_.set_table(std::move(table), loop_.now(), actions);
     if (newer) {
-        server_.set_body_limit(limits.body_bytes);
+        server_.set_client_limits(limits.body_bytes, limits.header_timeout, limits.idle_timeout);
     }
     perform(std::move(actions));
     timer_.set(gateway_.next_wakeup());
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -4,6 +4,7 @@
 #include <skylarkseam/shell/gateway_node.hpp>
 #include <skylarkseam/shell/knowledge_runner.hpp>
 #include <skylarkseam/shell/logging.hpp>
+#include <skylarkseam/shell/server_limits.hpp>
 
 #include <algorithm>
 #include <random>
@@ -15,14 +16,6 @@
 constexpr duration drain_check_interval = milliseconds(20);
 constexpr std::uint32_t readiness_connections = 32;
 
-http_limits limits_of(const node_limits& limits) {
-    return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
-}
-
-peer_limits peer_limits_of(const node_limits& limits) {
-    return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
-}
-
 extra_budget_limits extra_of(const gateway_settings& settings, time_point began) {
     const auto slack_from = settings.first_start ? began : began + settings.extra_window;
     return {settings.extra_ratio, settings.extra_slack, settings.extra_window, slack_from};
@@ -53,12 +46,12 @@
         , binding_(binding)
         , reload_(std::move(reload))
         , front_(
-              loop_, binding_, limits_of(settings.limits), settings.limits.upstream_body_bytes,
+              loop_, binding_, http_limits_of(settings.limits), settings.limits.upstream_body_bytes,
               options_of(settings, began_), [this] { return knowledge_.age(); }, metrics_)
         , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
                      [this](const incoming_request&, const respond& answer) { answer_readiness(answer); })
         , admin_(
-              loop_, limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
+              loop_, http_limits_of(settings.limits), metrics_, [this] { refresh_gauges(); },
               [this] { return unfit(); })
         , knowledge_(loop_, binding_, settings.platform_url, peer_limits_of(settings.limits),
                      std::random_device{}(), census_of(settings, loop_.now()), handlers()) {}
--- /dev/null
+++ b/src/skylarkseam/shell/http_exchange.hpp
@@ -0,0 +1,36 @@
+// One request to the HTTP server while it is read, handled and answered. Used by the server only.
+#pragma once
+
+#include <skylarkseam/shell/http_server.hpp>
+
+#include <microhttpd.h>
+
+#include <optional>
+#include <string>
+
+namespace skylarkseam {
+
+/// The state of one request, from its first header to the end of its answer.
+struct http_exchange {
+    MHD_Connection* connection = nullptr;
+    incoming_request request;
+    std::optional<outgoing_response> response;
+    time_point began{};   ///< its first line was read
+    std::size_t held = 0; ///< bytes of its body and of its answer's
+    bool refused = false; ///< answered with an error before the handler saw it
+    bool handed_over = false;
+    bool suspended = false;
+    bool alive = true; ///< false once the client or the server has gone
+    std::uint64_t id = 0;
+    bool reported_gone = false;
+};
+
+[[nodiscard]] int socket_of(const http_exchange& it);
+
+/// Fills in the headers, their names in lower case, and the arguments of the query string.
+void collect_fields(http_exchange& it);
+
+/// An error of the server's own; the request has not run. 503 names a time to come back.
+[[nodiscard]] outgoing_response refusal(int status, const std::string& kind, const std::string& detail);
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -1,12 +1,8 @@
-#include <skylarkseam/shell/http_server.hpp>
+#include <skylarkseam/shell/http_exchange.hpp>
 #include <skylarkseam/shell/socket_address.hpp>
 
-#include <microhttpd.h>
-
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
-#include <optional>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,23 +11,14 @@
 namespace skylarkseam {
 namespace {
 
-constexpr unsigned idle_timeout_s = 60;
+constexpr unsigned first_request_timeout_s = 60; ///< of a new connection, until its first request
+constexpr duration reading_check_interval = milliseconds(250);
 constexpr duration gone_check_interval =
     milliseconds(100);                  ///< an upstream stops within 0.5 s of a client's leaving
 constexpr int client_gone_status = 502; ///< reaches nobody
-
-/// The state of one request, from its first header to the end of its answer.
-struct exchange {
-    MHD_Connection* connection = nullptr;
-    incoming_request request;
-    std::optional<outgoing_response> response;
-    bool refused = false; ///< answered with an error before the handler saw it
-    bool handed_over = false;
-    bool suspended = false;
-    bool alive = true; ///< false once the client or the server has gone
-    std::uint64_t id = 0;
-    bool reported_gone = false;
-};
+/// Written beside the library, which answers nothing before the headers are complete. Nothing has run.
+constexpr std::string_view header_timeout_answer =
+    "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 std::string decoded(std::string text) {
     const std::size_t n = MHD_http_unescape(text.data());
@@ -39,20 +26,6 @@
     return text;
 }
 
-MHD_Result collect_header(void* user, MHD_ValueKind, const char* key, const char* value) {
-    auto* const headers = static_cast<std::vector<http_header>*>(user);
-    std::string name = key;
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-    headers->push_back({std::move(name), value == nullptr ? "" : value});
-    return MHD_YES;
-}
-
-MHD_Result collect_argument(void* user, MHD_ValueKind, const char* key, const char* value) {
-    auto* const arguments = static_cast<std::vector<http_header>*>(user);
-    arguments->push_back({key, value == nullptr ? "" : value});
-    return MHD_YES;
-}
-
 std::string find_value(const std::vector<http_header>& list, const std::string& name) {
     for (const auto& it : list) {
         if (it.name == name) {
@@ -62,13 +35,6 @@
     return {};
 }
 
-outgoing_response refusal(int status, const std::string& kind, const std::string& detail) {
-    outgoing_response response;
-    response.status = status;
-    response.body = R"({"error":")" + kind + R"(","ran":"no","detail":")" + detail + "\"}";
-    return response;
-}
-
 } // namespace
 
 std::string incoming_request::header(const std::string& name) const {
@@ -102,7 +68,10 @@
     timer_id timer = -1;
     bool run_posted = false;
     std::uint64_t rejected = 0;
-    std::unordered_set<std::shared_ptr<exchange>> exchanges;
+    std::size_t held = 0; ///< bytes of all exchanges
+    std::unordered_set<std::shared_ptr<http_exchange>> exchanges;
+    std::unordered_set<http_exchange*> reading; ///< whose headers are not complete
+    timer_id reading_timer = -1;
 
     impl(event_loop& event_loop, http_limits http_limits, handler request_handler, gone_handler on_leave)
         : loop(event_loop)
@@ -121,7 +90,7 @@
             loop.unwatch(epoll_fd);
             MHD_stop_daemon(daemon);
         }
-        for (const auto id : {timer, gone_timer}) {
+        for (const auto id : {timer, gone_timer, reading_timer}) {
             if (id >= 0) {
                 loop.cancel(id);
             }
@@ -131,19 +100,24 @@
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    static void* on_uri(void*, const char* uri, MHD_Connection* connection) {
-        auto* const holder = new std::shared_ptr<exchange>(std::make_shared<exchange>());
-        (*holder)->connection = connection;
+    static void* on_uri(void* user, const char* uri, MHD_Connection* connection) {
+        auto* const self = static_cast<impl*>(user);
+        auto* const holder = new std::shared_ptr<http_exchange>(std::make_shared<http_exchange>());
+        auto& it = **holder;
+        it.connection = connection;
+        it.began = self->loop.now();
         const std::string whole = uri;
-        (*holder)->request.path = whole.substr(0, whole.find('?'));
-        (*holder)->request.target = whole;
+        it.request.path = whole.substr(0, whole.find('?'));
+        it.request.target = whole;
+        self->reading.insert(&it);
+        self->watch_reading();
         return holder;
     }
 
     static MHD_Result on_access(void* user, MHD_Connection* connection, const char*, const char* method,
                                 const char*, const char* data, std::size_t* size, void** state) {
         auto* const self = static_cast<impl*>(user);
-        const auto& it = *static_cast<std::shared_ptr<exchange>*>(*state);
+        const auto& it = *static_cast<std::shared_ptr<http_exchange>*>(*state);
         if (it->request.method.empty()) {
             self->begin(it, method);
             return MHD_YES;
@@ -161,31 +135,38 @@
 
     static void on_completed(void* user, MHD_Connection*, void** state, MHD_RequestTerminationCode) {
         auto* const self = static_cast<impl*>(user);
-        auto* const holder = static_cast<std::shared_ptr<exchange>*>(*state);
+        auto* const holder = static_cast<std::shared_ptr<http_exchange>*>(*state);
         if (holder == nullptr) {
             return;
         }
-        (*holder)->alive = false;
+        auto& it = **holder;
+        it.alive = false;
+        self->held -= it.held;
+        self->reading.erase(&it);
         self->exchanges.erase(*holder);
         delete holder;
         *state = nullptr;
     }
 
-    void begin(const std::shared_ptr<exchange>& it, const char* method) {
+    void begin(const std::shared_ptr<http_exchange>& it, const char* method) {
         it->id = ++last_id;
         it->request.id = it->id;
         it->request.method = method;
-        MHD_get_connection_values(it->connection, MHD_HEADER_KIND, &collect_header, &it->request.headers);
-        MHD_get_connection_values(it->connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
-                                  &it->request.arguments);
+        reading.erase(it.get());
+        collect_fields(*it);
+        set_idle_timeout(it->connection);
         if (exchanges.size() >= limits.open_requests) {
             refuse(it, refusal(503, "overloaded", "too many open requests"));
             return;
         }
+        if (held >= limits.held_bytes) {
+            refuse(it, refusal(503, "overloaded", "too many bytes of open requests"));
+            return;
+        }
         exchanges.insert(it);
     }
 
-    void take_body(const std::shared_ptr<exchange>& it, const char* data, std::size_t size) {
+    void take_body(const std::shared_ptr<http_exchange>& it, const char* data, std::size_t size) {
         if (it->refused) {
             return;
         }
@@ -195,16 +176,23 @@
                                "the body is larger than " + std::to_string(limits.body_bytes) + " bytes"));
             return;
         }
+        if (held + size > limits.held_bytes) {
+            it->request.body.clear();
+            refuse(it, refusal(503, "overloaded", "too many bytes of open requests"));
+            return;
+        }
+        it->held += size;
+        held += size;
         it->request.body.append(data, size);
     }
 
-    void refuse(const std::shared_ptr<exchange>& it, outgoing_response response) {
+    void refuse(const std::shared_ptr<http_exchange>& it, outgoing_response response) {
         ++rejected;
         it->refused = true;
         it->response = std::move(response);
     }
 
-    MHD_Result hand_over(const std::shared_ptr<exchange>& it, MHD_Connection* connection) {
+    MHD_Result hand_over(const std::shared_ptr<http_exchange>& it, MHD_Connection* connection) {
         if (!it->handed_over) {
             it->handed_over = true;
             on_request(std::move(it->request),
@@ -219,6 +207,42 @@
         return MHD_YES;
     }
 
+    /// The library bounds the pauses between bytes only, so that the time for all headers is watched here.
+    void watch_reading() {
+        if (reading_timer >= 0) {
+            return;
+        }
+        reading_timer = loop.run_after(reading_check_interval, [this] {
+            reading_timer = -1;
+            end_slow_readings();
+        });
+    }
+
+    void end_slow_readings() {
+        std::vector<http_exchange*> slow;
+        for (auto* const it : reading) {
+            if (loop.now() - it->began >= limits.header_timeout) {
+                slow.push_back(it);
+            }
+        }
+        for (auto* const it : slow) {
+            ++rejected;
+            reading.erase(it);
+            const int fd = socket_of(*it);
+            ::send(fd, header_timeout_answer.data(), header_timeout_answer.size(),
+                   MSG_NOSIGNAL | MSG_DONTWAIT);
+            ::shutdown(fd, SHUT_RDWR); // the library finds it closed and frees it
+        }
+        if (!reading.empty()) {
+            watch_reading();
+        }
+    }
+
+    void set_idle_timeout(MHD_Connection* connection) const {
+        const auto whole_s = (limits.idle_timeout + seconds(1) - microseconds(1)) / seconds(1);
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, static_cast<unsigned>(whole_s));
+    }
+
     /// The library does not look at a suspended connection, so that a client's leaving is looked for here.
     void watch_for_gone() {
         if (!on_gone || gone_timer >= 0) {
@@ -231,17 +255,15 @@
     }
 
     void find_gone() {
-        std::vector<std::shared_ptr<exchange>> gone;
+        std::vector<std::shared_ptr<http_exchange>> gone;
         bool waiting = false;
         for (const auto& it : exchanges) {
             if (!it->suspended || it->reported_gone) {
                 continue;
             }
             waiting = true;
-            const auto* const info =
-                MHD_get_connection_info(it->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
             char byte = 0;
-            const auto n = ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            const auto n = ::recv(socket_of(*it), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
                 gone.push_back(it);
             }
@@ -257,10 +279,12 @@
         }
     }
 
-    void answer(const std::shared_ptr<exchange>& it, outgoing_response response) {
+    void answer(const std::shared_ptr<http_exchange>& it, outgoing_response response) {
         if (!it->alive || it->response) {
             return;
         }
+        it->held += response.body.size();
+        held += response.body.size();
         it->response = std::move(response);
         if (it->suspended) {
             it->suspended = false;
@@ -269,7 +293,7 @@
         }
     }
 
-    static MHD_Result queue(const std::shared_ptr<exchange>& it, MHD_Connection* connection) {
+    static MHD_Result queue(const std::shared_ptr<http_exchange>& it, MHD_Connection* connection) {
         auto& response = *it->response;
         auto* const body = MHD_create_response_from_buffer(response.body.size(), response.body.data(),
                                                            MHD_RESPMEM_MUST_COPY);
@@ -324,9 +348,9 @@
     const int fd = open_listener(address);
     impl_->daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &impl::on_access, impl_.get(),
-        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, &impl::on_uri, nullptr,
+        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, &impl::on_uri, impl_.get(),
         MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, impl_.get(), MHD_OPTION_CONNECTION_LIMIT,
-        impl_->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_s,
+        impl_->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT, first_request_timeout_s,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, impl_->limits.header_bytes, MHD_OPTION_END);
     if (impl_->daemon == nullptr) {
         throw std::runtime_error("the HTTP server could not start on " + address);
@@ -344,8 +368,10 @@
     }
 }
 
-void http_server::set_body_limit(std::size_t bytes) {
-    impl_->limits.body_bytes = bytes;
+void http_server::set_client_limits(std::size_t body_bytes, duration header_timeout, duration idle_timeout) {
+    impl_->limits.body_bytes = body_bytes;
+    impl_->limits.header_timeout = header_timeout;
+    impl_->limits.idle_timeout = idle_timeout;
 }
 
 std::uint64_t http_server::rejected() const {
--- a/src/skylarkseam/shell/http_server.hpp
+++ b/src/skylarkseam/shell/http_server.hpp
@@ -17,7 +17,10 @@
     std::size_t body_bytes = 1U << 20U;
     std::size_t header_bytes = 32U << 10U; ///< of one request, its first line included
     std::uint32_t connections = 4096;
-    std::uint32_t open_requests = 16384; ///< answered with 503 beyond
+    std::uint32_t open_requests = 16384;   ///< answered with 503 beyond
+    std::size_t held_bytes = 64U << 20U;   ///< of bodies and answers that are open; answered with 503 beyond
+    duration header_timeout = seconds(30); ///< from the first line to the last header; answered with 408
+    duration idle_timeout = seconds(60);   ///< without a byte on a connection
 };
 
 struct incoming_request {
@@ -64,8 +67,8 @@
     /// Closes the listening socket; connections that are open go on.
     void stop_listening();
 
-    /// Bytes of a request's body from now on.
-    void set_body_limit(std::size_t bytes);
+    /// What holds for each request from now on.
+    void set_client_limits(std::size_t body_bytes, duration header_timeout, duration idle_timeout);
 
     /// Requests that were refused for their size or form.
     [[nodiscard]] std::uint64_t rejected() const;
--- a/src/skylarkseam/shell/node.cpp
+++ b/src/skylarkseam/shell/node.cpp
@@ -8,6 +8,7 @@
 #include <skylarkseam/shell/owner_runner.hpp>
 #include <skylarkseam/shell/platform_client.hpp>
 #include <skylarkseam/shell/query_runner.hpp>
+#include <skylarkseam/shell/server_limits.hpp>
 #include <skylarkseam/shell/state_json.hpp>
 
 #include <algorithm>
@@ -23,14 +24,6 @@
 constexpr std::string_view cell_name = "cell-0";
 constexpr duration ledger_flush_time = seconds(5);
 
-http_limits http_limits_of(const node_limits& limits) {
-    return {limits.body_bytes, limits.header_bytes, limits.connections, limits.open_requests};
-}
-
-peer_limits peer_limits_of(const node_limits& limits) {
-    return {limits.peer_frame_bytes, limits.peer_request_bytes, limits.peer_streams, limits.peer_connections};
-}
-
 follower_options follower_options_of(const node_settings& settings, const std::string& address) {
     follower_options options;
     options.node = settings.name;
--- a/src/skylarkseam/wire/settings_yaml.cpp
+++ b/src/skylarkseam/wire/settings_yaml.cpp
@@ -44,6 +44,7 @@
     limits.size("header_bytes", out.header_bytes, byte_range);
     limits.integer("connections", out.connections, count_range);
     limits.integer("open_requests", out.open_requests, count_range);
+    limits.size("held_bytes", out.held_bytes, byte_range);
     limits.size("peer_frame_bytes", out.peer_frame_bytes, byte_range);
     limits.size("peer_request_bytes", out.peer_request_bytes, byte_range);
     limits.integer("peer_streams", out.peer_streams, count_range);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -57,6 +57,21 @@
     BOOST_TEST(greatest_records({}, 3).empty());
 }
 
+BOOST_AUTO_TEST_CASE(are_the_same_where_parts_were_cut_to_what_counts) {
+    std::vector<std::string> whole{record('a') + record('d') + record('c'),
+                                   record('b') + record('d') + "rest"};
+    auto cut = whole;
+    for (auto& it : cut) {
+        keep_greatest_records(it, 2);
+    }
+    BOOST_TEST(cut[0].size() == 2 * record_bytes);
+    const auto merged = [](const std::vector<std::string>& parts) {
+        return greatest_records(std::vector<std::string_view>(parts.begin(), parts.end()), 2);
+    };
+    BOOST_TEST(merged(cut) == merged(whole));
+    BOOST_TEST(merged(cut) == record('d') + record('d'));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_shares_of_a_budget)
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <cerrno>
 #include <map>
 #include <sys/socket.h>
 #include <tests/shell/loop_fixture.hpp>
@@ -50,6 +52,21 @@
         return request;
     }
 
+    /// Sends as soon as the connection is open.
+    bool send_once(int fd, const std::string& bytes) {
+        bool sent = false;
+        return run_until(
+            [&] { return sent = sent || ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0; });
+    }
+
+    /// Appends what has come on a connection; true once the other side has closed it.
+    static bool receive(int fd, std::string& to) {
+        std::array<char, 512> buf{};
+        const auto n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+        to.append(buf.data(), n > 0 ? static_cast<std::size_t>(n) : 0);
+        return n == 0 || (n < 0 && errno == ECONNRESET);
+    }
+
     http_request post(const std::string& body) {
         http_request request;
         request.method = "POST";
@@ -132,6 +149,68 @@
     BOOST_TEST(refused.body.find("\"ran\":\"no\"") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(beyond_the_bytes_that_are_held_a_request_is_refused_with_a_time_to_come_back) {
+    http_limits few;
+    few.held_bytes = 100;
+    std::vector<respond> waiting;
+    http_server small{loop, few,
+                      [&](const incoming_request&, const respond& answer) { waiting.push_back(answer); }};
+    address = small.listen("127.0.0.1:0");
+    auto first = post(std::string(60, 'x'));
+    first.url = "http://" + address + first.url;
+    bool first_done = false;
+    client.send(std::move(first), [&](const http_response&) { first_done = true; });
+    BOOST_REQUIRE(run_until([&] { return waiting.size() == 1U; }));
+
+    const auto refused = fetch(post(std::string(60, 'y')));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(!refused.header("retry-after").empty());
+
+    waiting[0]({200, "", "", {}});
+    BOOST_REQUIRE(run_until([&] { return first_done; }));
+    auto third = post(std::string(60, 'z'));
+    third.url = "http://" + address + third.url;
+    client.send(std::move(third), [](const http_response&) {});
+    BOOST_REQUIRE(run_until([&] { return waiting.size() == 2U; }));
+    waiting[1]({200, "", "", {}});
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_sends_its_headers_slowly_is_told_that_nothing_has_run) {
+    server.set_client_limits(64, milliseconds(100), seconds(60));
+    const int fd = start_connection(address);
+    BOOST_REQUIRE(send_once(fd, "GET /x HTTP/1.1\r\nHost: a\r\n"));
+    std::string answer;
+    bool closed = false;
+    int turns = 0;
+    BOOST_REQUIRE(run_until([&] {
+        // One more header now and then, so that the connection is never idle.
+        if (++turns % 50 == 0) {
+            ::send(fd, "X: y\r\n", 6, MSG_NOSIGNAL);
+        }
+        return closed = closed || receive(fd, answer);
+    }));
+    ::close(fd);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 408 "));
+    BOOST_TEST(server.rejected() == 1U);
+    BOOST_TEST(fetch(post("x")).status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_rests_too_long_is_closed) {
+    server.set_client_limits(64, seconds(30), seconds(1));
+    const int fd = start_connection(address);
+    const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE(run_until([&] {
+        return ::send(fd, request.data(), request.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(request.size());
+    }));
+    std::string answer;
+    BOOST_REQUIRE(run_until([&] { return receive(fd, answer) || !answer.empty(); }));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+    bool closed = false;
+    BOOST_TEST(run_until([&] { return closed = closed || receive(fd, answer); }));
+    ::close(fd);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_a_client_that_has_gone_is_dropped) {
     const auto id = client.send(get_held("gone"), [](const http_response&) {});
     BOOST_REQUIRE(run_until([&] { return held.count("gone") == 1; }));
