--- a/src/skylarkseam/gateway/knowledge.cpp
+++ b/src/skylarkseam/gateway/knowledge.cpp
@@ -15,7 +15,7 @@
     if (known && (found->second.value.revision >= it.revision)) {
         return false;
     }
-    if (!known && !it.record) {
+    if (!known && (!it.record || is_settled(store_kind::searchers, it.revision))) {
         return false;
     }
     const bool was_gone = known && !found->second.value.record;
@@ -31,13 +31,18 @@
     if (found != evacuations_.end() && found->second.value.revision >= it.revision) {
         return false;
     }
-    if (found == evacuations_.end() && !it.active) {
+    const bool settled = is_settled(store_kind::evacuations, it.revision);
+    if (found == evacuations_.end() && (!it.active || settled)) {
         return false;
     }
     evacuations_[it.zone] = {it, ++sequence_};
     return true;
 }
 
+bool knowledge::is_settled(store_kind kind, std::uint64_t revision) const {
+    return revision <= revisions_[static_cast<std::size_t>(kind)];
+}
+
 bool knowledge::take(const routing_source& it) {
     if (it.version <= routing_.version) {
         return false;
--- a/src/skylarkseam/gateway/knowledge.hpp
+++ b/src/skylarkseam/gateway/knowledge.hpp
@@ -113,6 +113,8 @@
         std::uint64_t sequence = 0;
     };
     void forget_old_removals();
+    /// What stood in the store at that revision is known: what is not known had gone by then.
+    [[nodiscard]] bool is_settled(store_kind kind, std::uint64_t revision) const;
 
     std::uint64_t epoch_;
     std::uint64_t sequence_ = 0;
--- a/tests/gateway/connections_test.cpp
+++ b/tests/gateway/connections_test.cpp
@@ -75,6 +75,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(add_up_to_no_more_than_the_whole) {
+    for (std::uint32_t of_a = 1; of_a <= 12; ++of_a) {
+        for (std::uint32_t of_b = 1; of_b <= 12; ++of_b) {
+            for (std::uint32_t connections = 1; connections <= 120; ++connections) {
+                const gateway_service service{"s", connections, 0.0};
+                std::uint32_t sum = 0;
+                for (const auto here : {of_a, of_b}) {
+                    sum += here * placement::connection_share(&service, {of_a + of_b, here, 2});
+                }
+                // Every host may have one, so that none is without; only then the parts may be too many.
+                const bool enough = connections * 9 >= 20 * std::max(of_a, of_b);
+                BOOST_TEST_REQUIRE((!enough || sum <= connections));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_census_of_hosts)
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -241,6 +241,19 @@
     BOOST_TEST(known.evacuated_zones().count("z") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(takes_nothing_from_others_that_had_gone_by_what_is_known) {
+    knowledge known(1);
+    known.retain_searchers({}, 10, false);
+    known.advance(store_kind::evacuations, 10);
+    // A gateway that listed the store earlier, or has not heard of it since, still has these.
+    BOOST_TEST(!known.take(registration{"gone", 4, record("gone"), false}));
+    BOOST_TEST(!known.take(evacuation{"zone", 4, true}));
+    BOOST_TEST(known.searchers() == 0U);
+    BOOST_TEST(known.evacuated_zones().empty());
+    BOOST_TEST(known.take(registration{"new", 11, record("new"), false}));
+    BOOST_TEST(known.take(evacuation{"zone", 11, true}));
+}
+
 BOOST_AUTO_TEST_SUITE(passed_on_by_a_gateway_that_has_just_started)
 
 // A gateway is followed from its first moment on, while it still lists the store.
