--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -72,6 +72,7 @@
         std::string route;
         time_point sent{};
         duration usual{};
+        duration in_time{};   ///< latency from which on its searcher has too much to do
         time_point give_up{}; ///< of one that nobody waits for
     };
     using run_ptr = std::shared_ptr<request_run>;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -20,6 +20,10 @@
 constexpr duration probe_patience = milliseconds(450); ///< longer than the pauses that searchers make
 constexpr duration silent_after = milliseconds(700);
 constexpr int patience_factor = 6; ///< times the usual latency, where that is long
+/// A searcher has too much to do when it takes half of the objective, and twice what it takes without a
+/// queue.
+constexpr int in_time_part_of_objective = 2;
+constexpr int in_time_factor = 2;
 constexpr int usual_part_of_objective =
     5; ///< a request takes about 1/5 of its objective, until more is known
 constexpr int status_ok = 200;
@@ -36,10 +40,13 @@
                    output& out) {
     auto& it = run->parts[part];
     const auto id = ++last_attempt_;
-    const auto usual = usual_of(*run->route).median();
+    const auto& estimate = usual_of(*run->route);
+    const auto usual = estimate.median();
+    const auto in_time =
+        std::max(run->route->objective / in_time_part_of_objective, in_time_factor * estimate.shortest());
     const auto trip = trips_.to(*choice.target);
     choice.target->on_sent(id, now, usual);
-    attempts_[id] = {run->token, part, choice.target, run->route->name, now, usual, {}};
+    attempts_[id] = {run->token, part, choice.target, run->route->name, now, usual, in_time, {}};
 
     const double slowness = std::clamp(choice.target->slowness, 1.0, most_slowness_waited_for);
     const auto patience =
@@ -135,9 +142,9 @@
         const auto work = std::max(duration::zero(), now - ended.sent - trips_.to(it));
         const auto estimate = usual_.find(ended.route);
         if (estimate != usual_.end()) {
-            estimate->second.add(work);
+            estimate->second.add(work, now);
         }
-        it.on_answer(work, ended.usual, now);
+        it.on_answer(work, ended.usual, ended.sent, ended.in_time, now);
         break;
     }
     case attempt_outcome::refused:
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -6,6 +6,7 @@
 
 constexpr double slowness_gain = 1.0 / 4.0; ///< a searcher that turns slow is noticed within a few answers
 constexpr double widest_window = 1000.0;    ///< the connection share is always less
+constexpr double narrowed = 0.8;            ///< of what was open when an answer came too late
 constexpr double failure_gain = 1.0 / 8.0;
 constexpr double outlier_ratio = 4.0;  ///< a single answer counts for no more than this ...
 constexpr double outlier_growth = 2.0; ///< ... or this times what is believed already
@@ -57,7 +58,8 @@
     return true;
 }
 
-void known_searcher::on_answer(duration latency, duration usual, time_point now) {
+void known_searcher::on_answer(duration latency, duration usual, time_point sent, duration in_time,
+                               time_point now) {
     const double ratio = static_cast<double>(std::max(latency, microseconds(100)).count()) /
                          static_cast<double>(std::max(usual, microseconds(500)).count());
     if (now - last_ended > memory) {
@@ -68,7 +70,13 @@
     slowness = std::clamp(slowness + slowness_gain * (bounded - slowness), least_slowness, most_slowness);
     failure_share -= failure_gain * failure_share;
     failures_in_row = 0;
-    window = std::min(widest_window, window + 1.0);
+    if (latency <= in_time) {
+        window = std::min(widest_window, window + (window < steady_window ? 1.0 : 1.0 / window));
+    } else if (sent >= narrowed_at) {
+        window = std::max(1.0, narrowed * std::min(window, static_cast<double>(open.size()) + 1.0));
+        steady_window = window;
+        narrowed_at = now;
+    }
     last_answer = now;
     last_ended = now;
     fault = searcher_fault::none;
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -56,8 +56,11 @@
     double failure_share = 0.0; ///< of its recent attempts, those that were refused or came to nothing
     std::uint32_t failures_in_row = 0;
     /// Attempts that may be open here at a time: begins small, grows with each answer and halves with each
-    /// failure, so that hosts that start together do not open all their connections at once.
+    /// failure, so that hosts that start together do not open all their connections at once. Answers that
+    /// come too late narrow it, so that what waits does so here, where it can be turned away, and not there.
     double window = 2.0;
+    double steady_window = 1000.0; ///< up to it the window grows by one with each answer, beyond it slowly
+    time_point narrowed_at{};      ///< answers to what was sent before tell nothing of the window since
     time_point last_answer{};
     time_point last_ended{};
     searcher_fault fault = searcher_fault::none;
@@ -69,7 +72,9 @@
     void on_sent(attempt_id id, time_point now, duration usual);
     /// Removes an attempt; false where it is not open.
     bool on_ended(attempt_id id);
-    void on_answer(duration latency, duration usual, time_point now);
+    /// \param sent    when the request was sent
+    /// \param in_time  latency from which on the searcher has too much to do
+    void on_answer(duration latency, duration usual, time_point sent, duration in_time, time_point now);
     void on_refused(time_point now);
     void on_failure(searcher_fault kind, time_point now);
 
--- a/src/skylarkseam/gateway/latency_estimate.cpp
+++ b/src/skylarkseam/gateway/latency_estimate.cpp
@@ -1,6 +1,7 @@
 #include <skylarkseam/gateway/latency_estimate.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkseam {
 namespace {
@@ -8,6 +9,9 @@
 constexpr std::uint32_t first_samples = 16; ///< while so few are known, each moves the median further
 constexpr std::int64_t coarse_step = 5;     ///< 1/5 of the median a sample at first
 constexpr std::int64_t fine_step = 32;      ///< 1/32 later
+/// Slow against an overload, so that its queues are not taken for the work itself; fast against a change of
+/// what searchers are or do.
+constexpr duration shortest_doubles = seconds(60);
 constexpr duration least_median = microseconds(500);
 
 // Taken until a connection has been opened; the usual one-way delays are 0.2 ms, 1 ms and 20 ms.
@@ -18,11 +22,19 @@
 
 } // namespace
 
-void latency_estimate::add(duration latency) {
+void latency_estimate::add(duration latency, time_point now) {
     const auto divisor = samples_ < first_samples ? coarse_step : fine_step;
     ++samples_;
     const auto step = std::max(duration(1), median_ / divisor);
     median_ = std::max(least_median, latency > median_ ? median_ + step : median_ - step);
+    if (samples_ == 1 || latency < shortest_) {
+        shortest_ = std::max(least_median, latency);
+    } else {
+        const auto passed = std::chrono::duration<double>(now - shortest_at_) / shortest_doubles;
+        shortest_ =
+            duration(static_cast<std::int64_t>(static_cast<double>(shortest_.count()) * std::exp2(passed)));
+    }
+    shortest_at_ = now;
 }
 
 void round_trips::add(const std::string& zone, duration connect_time) {
--- a/src/skylarkseam/gateway/latency_estimate.hpp
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -13,12 +13,17 @@
 public:
     /// \param first_guess  taken until answers are in
     explicit latency_estimate(duration first_guess)
-        : median_(first_guess) {}
-    void add(duration latency);
+        : median_(first_guess)
+        , shortest_(first_guess) {}
+    void add(duration latency, time_point now);
     [[nodiscard]] duration median() const { return median_; }
+    /// About the shortest that was seen lately: the work itself, also while most requests wait in queues.
+    [[nodiscard]] duration shortest() const { return shortest_; }
 
 private:
     duration median_;
+    duration shortest_;
+    time_point shortest_at_{}; ///< until when it has been raised
     std::uint32_t samples_ = 0;
 };
 
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -264,7 +264,7 @@
     time_point now{seconds(1)};
 
     knowledge_update follow() {
-        const auto update = source.update_since(at, now);
+        auto update = source.update_since(at, now);
         reader.take(update);
         at = {update.epoch, update.sequence, 0};
         return update;
