--- a/src/skylarkseam/cli/configuration_commands.cpp
+++ b/src/skylarkseam/cli/configuration_commands.cpp
@@ -1,6 +1,7 @@
 // The commands that look at configurations without changing any: check, get and diff.
 #include <skylarkseam/cli/command_parts.hpp>
 #include <skylarkseam/cli/commands.hpp>
+#include <skylarkseam/cli/settings_file.hpp>
 #include <skylarkseam/wire/configuration_json.hpp>
 
 #include <iostream>
@@ -16,11 +17,27 @@
 } // namespace
 
 exit_code check_command(const arguments& args) {
-    command_line line("skylarkseam check", "Checks configuration files and names every fault.");
-    line.add_required("f,file", "a YAML file, or a folder of them");
+    command_line line("skylarkseam check",
+                      "Checks configuration files, or the settings of a node, and names every fault.");
+    line.add("f,file", "a YAML file of the configuration, or a folder of them");
+    line.add("settings", "the settings of a node or gateway, a YAML file");
     if (const auto ended = line.parse(args)) {
         return *ended;
     }
+    const bool of_node = line.is_set("settings");
+    if (of_node == line.is_set("file")) {
+        std::cerr << "either --file or --settings is needed\n";
+        return exit_code::usage;
+    }
+    if (of_node) {
+        const auto settings = read_settings_file(line.value("settings"));
+        if (!settings) {
+            return exit_code::refused;
+        }
+        std::cout << "correct: settings of " << (settings->gateway ? "gateway " : "node ") << settings->name
+                  << '\n';
+        return exit_code::done;
+    }
     const auto config = read_configuration(line.value("file"));
     if (!config) {
         return exit_code::refused;
--- a/src/skylarkseam/cli/gateway_command.cpp
+++ b/src/skylarkseam/cli/gateway_command.cpp
@@ -1,8 +1,7 @@
 #include <skylarkseam/cli/command_line.hpp>
 #include <skylarkseam/cli/commands.hpp>
-#include <skylarkseam/cli/files.hpp>
+#include <skylarkseam/cli/settings_file.hpp>
 #include <skylarkseam/shell/gateway_node.hpp>
-#include <skylarkseam/wire/settings_yaml.hpp>
 
 #include <cstdlib>
 #include <iostream>
@@ -20,23 +19,14 @@
     return path == nullptr ? std::string() : std::string(path);
 }
 
-/// Nothing where the file cannot be read or is faulty; the faults are on the standard error stream.
-std::optional<node_settings> read_settings(const std::string& path) {
-    const auto source = read_source(path);
-    if (!source) {
-        std::cerr << source.error().detail << '\n';
-        return std::nullopt;
-    }
-    auto settings = parse_settings(source.value());
-    if (!settings.faults.empty()) {
-        print_faults(settings.faults);
-        return std::nullopt;
-    }
-    if (!settings.value.gateway) {
+/// Nothing where the file is faulty or has no section for a gateway.
+std::optional<node_settings> read_gateway_settings(const std::string& path) {
+    auto settings = read_settings_file(path);
+    if (settings && !settings->gateway) {
         std::cerr << path << ": the section \"gateway\" is missing\n";
         return std::nullopt;
     }
-    return std::move(settings.value);
+    return settings;
 }
 
 } // namespace
@@ -50,13 +40,13 @@
         return *ended;
     }
     const auto path = line.value("settings");
-    const auto settings = read_settings(path);
+    const auto settings = read_gateway_settings(path);
     if (!settings) {
         return exit_code::refused;
     }
     const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer,
                                    &platform::read_routing};
-    const auto ended = run_gateway(*settings, binding, [path] { return read_settings(path); });
+    const auto ended = run_gateway(*settings, binding, [path] { return read_gateway_settings(path); });
     return ended == 0 ? exit_code::done : exit_code::refused;
 }
 
--- a/tests/end_to_end/configuration_test.cpp
+++ b/tests/end_to_end/configuration_test.cpp
@@ -216,6 +216,7 @@
                    ":4: service a: deadline_ms: must be a whole number from 1 to 600000, not '0'\n");
     BOOST_TEST(run_program({"check", "-f", path + ".not-there"}).first == 1);
     BOOST_TEST(run_program({"check"}).first == 2);
+    BOOST_TEST(run_program({"check", "-f", path, "--settings", path}).first == 2);
     BOOST_TEST(run_program({"check", "--colour"}).first == 2);
     BOOST_TEST(run_program({"paint"}).first == 2);
     BOOST_TEST(run_program({"apply", "-f", path}).first == 2);
@@ -228,6 +229,27 @@
     BOOST_TEST(run_program({"dump", "--node", "127.0.0.1:1"}).first == 1);
 }
 
+BOOST_AUTO_TEST_CASE(settings_of_nodes_and_gateways_are_checked_without_starting_one) {
+    const auto path = std::string(SKYLARKSEAM_BINARY_DIR) + "/settings-to-check.yaml";
+    const std::string node =
+        "node: {name: entry-1, availability_zone: kochi, region: south}\n"
+        "listen: {callers: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\n"
+        "platform: {url: \"http://127.0.0.1:7000\"}\n";
+    std::ofstream(path) << node;
+    BOOST_TEST((run_program({"check", "--settings", path}) ==
+                std::pair(0, std::string("correct: settings of node entry-1\n"))));
+
+    std::ofstream(path) << node
+                        << "gateway: {readiness: \"127.0.0.1:0\", zones: [{name: kochi, region: south}]}\n";
+    BOOST_TEST((run_program({"check", "--settings", path}) ==
+                std::pair(0, std::string("correct: settings of gateway entry-1\n"))));
+
+    std::ofstream(path) << node << "gateway: {readiness: nowhere, zones: []}\n";
+    const auto [code, output] = run_program({"check", "--settings", path});
+    BOOST_TEST(code == 1);
+    BOOST_TEST(output.find(path + ":4: ") != std::string::npos, output);
+}
+
 BOOST_AUTO_TEST_CASE(what_cannot_be_settled_is_said_to_be_unknown) {
     event_loop loop;
     bool written = false;
@@ -249,7 +271,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(every_command_has_help_and_version) {
-    for (const auto* it : {"node", "check", "apply", "get", "diff", "status", "dump"}) {
+    for (const auto* it : {"node", "gateway", "check", "apply", "get", "diff", "status", "dump"}) {
         const auto help = run_program({it, "--help"});
         BOOST_TEST(help.first == 0);
         BOOST_TEST(help.second.find("--help") != std::string::npos);
