A request whose connections have not opened yet has not run

Cause: a request was told 502 or 504 as soon as an attempt had been made for it, also while the connection of that attempt was still opening, as to a host without power: nothing had left the gateway, and the client got no time to come back.

Change: the pool says whether a request waits for its connection, and when it goes out; until then its attempt does not count as one that may run.

Tests: one of the decision with and without the request sent, two of the pool.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -61,6 +61,14 @@
 struct client_left {
     request_token token = 0;
 };
+/// The attempt waits for a connection to open: nothing of it has left this host. Comes right after its send.
+struct attempt_connecting {
+    attempt_id id = 0;
+};
+/// The connection is open, and the request is being written.
+struct attempt_sent {
+    attempt_id id = 0;
+};
 struct attempt_ended {
     attempt_id id = 0;
     attempt_result result;
@@ -69,6 +77,7 @@
 } // namespace gateway_event
 
 using gateway_input = std::variant<gateway_event::request_arrived, gateway_event::client_left,
+                                   gateway_event::attempt_connecting, gateway_event::attempt_sent,
                                    gateway_event::attempt_ended, gateway_event::time_passed>;
 
 /// Why a request was not answered with a searcher's or a merged answer.
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -100,6 +100,8 @@
         output& out;
         void operator()(gateway_event::request_arrived& it) const { self.arrive(it.request, now, out); }
         void operator()(gateway_event::client_left& it) const { self.leave(it.token, now, out); }
+        void operator()(gateway_event::attempt_connecting& it) const { self.note_sent(it.id, false); }
+        void operator()(gateway_event::attempt_sent& it) const { self.note_sent(it.id, true); }
         void operator()(gateway_event::attempt_ended& it) const {
             self.end_attempt(it.id, std::move(it.result), now, out);
         }
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -83,6 +83,8 @@
     void refuse(const gateway_request& request, refusal_reason reason, time_point now, output& out);
     void release_early(time_point now, output& out);
     void leave(request_token token, time_point now, output& out);
+    /// Whether a byte of an attempt may have left this host.
+    void note_sent(attempt_id id, bool sent);
     void end_attempt(attempt_id id, attempt_result result, time_point now, output& out);
     void on_time(time_point now, output& out);
 
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -108,6 +108,17 @@
     send(run, part, choice, now, out);
 }
 
+void gateway::note_sent(attempt_id id, bool sent) {
+    const auto found = attempts_.find(id);
+    const auto run = found == attempts_.end() ? runs_.end() : runs_.find(found->second.token);
+    if (run == runs_.end()) {
+        return;
+    }
+    for (auto& it : run->second->parts[found->second.part].open) {
+        it.may_run = it.id == id ? sent : it.may_run;
+    }
+}
+
 void gateway::end_attempt(attempt_id id, attempt_result result, time_point now, output& out) {
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) {
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -62,7 +62,9 @@
 
 bool request_run::may_have_run() const {
     return std::any_of(parts.begin(), parts.end(), [](const auto& it) {
-        return it.may_have_run || it.state == part_state::answered || !it.open.empty();
+        const bool may_run =
+            std::any_of(it.open.begin(), it.open.end(), [](const auto& one) { return one.may_run; });
+        return it.may_have_run || it.state == part_state::answered || may_run;
     });
 }
 
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -25,6 +25,7 @@
         known_searcher_ptr target;
         time_point sent{};
         time_point again_at{}; ///< when a second attempt becomes worth it
+        bool may_run = true;   ///< false while its connection opens
     };
 
     std::string service;
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -12,11 +12,13 @@
     , knowledge_age_(std::move(knowledge_age))
     , measured_(measured)
     , gateway_(std::move(options))
-    , pool_(loop, answer_limit,
-            [this](upstream_call_id id, upstream_result result) {
-                deliver(
-                    gateway_event::attempt_ended{id, to_attempt_result(std::move(result), binding_.dialect)});
-            })
+    , pool_(
+          loop, answer_limit,
+          [this](upstream_call_id id, upstream_result result) {
+              deliver(
+                  gateway_event::attempt_ended{id, to_attempt_result(std::move(result), binding_.dialect)});
+          },
+          [this](upstream_call_id id) { deliver(gateway_event::attempt_sent{id}); })
     , server_(
           loop, limits,
           [this](incoming_request request, respond answer) { take(std::move(request), std::move(answer)); },
@@ -88,7 +90,9 @@
     call.request =
         to_upstream_request(found->second.request, binding_.dialect, action.searcher, action.time_left);
     call.connect_timeout = action.connect_timeout;
-    pool_.send(std::move(call));
+    if (!pool_.send(std::move(call))) {
+        deliver(gateway_event::attempt_connecting{action.id});
+    }
 }
 
 void gateway_front::answer(gateway_action::answer& action) {
--- a/src/skylarkseam/shell/upstream_connection.cpp
+++ b/src/skylarkseam/shell/upstream_connection.cpp
@@ -138,7 +138,10 @@
             return;
         }
         state = connection_state::busy;
-        write();
+        callbacks.on_sending();
+        if (state == connection_state::busy) {
+            write();
+        }
     }
 
     void write() {
--- a/src/skylarkseam/shell/upstream_connection.hpp
+++ b/src/skylarkseam/shell/upstream_connection.hpp
@@ -48,6 +48,7 @@
 class upstream_connection {
 public:
     struct handlers {
+        std::function<void()> on_sending; ///< a request that waited for the connection to open goes out
         std::function<void(upstream_result)> on_result; ///< of the request that was sent last
         std::function<void()> on_closed;                ///< it cannot be used any more; called once
     };
--- a/src/skylarkseam/shell/upstream_pool.cpp
+++ b/src/skylarkseam/shell/upstream_pool.cpp
@@ -19,6 +19,7 @@
     event_loop& loop;
     std::size_t body_limit;
     result_handler on_result;
+    sending_handler on_sending;
     upstream_pool_counters counters;
     std::uint64_t last_key = 0;
     std::unordered_map<std::uint64_t, pooled> connections;            ///< by key
@@ -29,10 +30,11 @@
     std::vector<std::unique_ptr<upstream_connection>> ended;
     bool clearing = false;
 
-    impl(event_loop& event_loop, std::size_t limit, result_handler handler)
+    impl(event_loop& event_loop, std::size_t limit, result_handler result, sending_handler sending)
         : loop(event_loop)
         , body_limit(limit)
-        , on_result(std::move(handler)) {}
+        , on_result(std::move(result))
+        , on_sending(std::move(sending)) {}
 
     ~impl() {
         for (auto& [key, it] : connections) {
@@ -51,6 +53,7 @@
         it.connection = std::make_unique<upstream_connection>(
             loop, address, body_limit,
             upstream_connection::handlers{
+                [this, key] { note_sending(key); },
                 [this, key](upstream_result result) { finish(key, std::move(result)); },
                 [this, key] { remove(key); }});
         it.connect_timer = loop.run_after(connect_timeout, [this, key] {
@@ -82,6 +85,13 @@
         return std::nullopt;
     }
 
+    void note_sending(std::uint64_t key) {
+        const auto it = connections.find(key);
+        if (on_sending && it != connections.end() && it->second.call != 0) {
+            on_sending(it->second.call);
+        }
+    }
+
     void finish(std::uint64_t key, upstream_result result) {
         upstream_call_id id = 0;
         const auto it = connections.find(key);
@@ -140,12 +150,13 @@
     }
 };
 
-upstream_pool::upstream_pool(event_loop& loop, std::size_t body_limit, result_handler on_result)
-    : impl_(std::make_unique<impl>(loop, body_limit, std::move(on_result))) {}
+upstream_pool::upstream_pool(event_loop& loop, std::size_t body_limit, result_handler on_result,
+                             sending_handler on_sending)
+    : impl_(std::make_unique<impl>(loop, body_limit, std::move(on_result), std::move(on_sending))) {}
 
 upstream_pool::~upstream_pool() = default;
 
-void upstream_pool::send(upstream_call call) {
+bool upstream_pool::send(upstream_call call) {
     ++impl_->counters.calls;
     const auto kept = impl_->take_idle(call.address);
     const auto key = kept ? *kept : impl_->open(call.address, call.connect_timeout);
@@ -153,6 +164,7 @@
     it.call = call.id;
     impl_->calls[call.id] = key;
     it.connection->send(std::move(call.request));
+    return kept.has_value();
 }
 
 void upstream_pool::cancel(upstream_call_id id) {
--- a/src/skylarkseam/shell/upstream_pool.hpp
+++ b/src/skylarkseam/shell/upstream_pool.hpp
@@ -33,12 +33,17 @@
     /// Called once for each call that is not cancelled.
     using result_handler = std::function<void(upstream_call_id id, upstream_result result)>;
 
-    upstream_pool(event_loop& loop, std::size_t body_limit, result_handler on_result);
+    /// Called for a call that waited for its connection to open, when its request goes out.
+    using sending_handler = std::function<void(upstream_call_id id)>;
+
+    upstream_pool(event_loop& loop, std::size_t body_limit, result_handler on_result,
+                  sending_handler on_sending = {});
     ~upstream_pool();
     upstream_pool(const upstream_pool&) = delete;
     upstream_pool& operator=(const upstream_pool&) = delete;
 
-    void send(upstream_call call);
+    /// False where the request waits for a connection to open; nothing has been sent until on_sending.
+    bool send(upstream_call call);
 
     /// Closes the connection of a call, whose result is not reported any more.
     void cancel(upstream_call_id id);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -328,6 +328,32 @@
     BOOST_TEST(before > 4U);
 }
 
+BOOST_AUTO_TEST_CASE(says_that_nothing_has_run_while_its_connections_do_not_open) {
+    route(repeatability::at_most_once);
+    auto& gateway = *world.hosts[0];
+    const auto status_after = [&](std::initializer_list<bool> sent) {
+        std::vector<gateway_output> out;
+        gateway_request request{1, "r1", "search.example", "/audit/x", milliseconds(500)};
+        gateway.handle(gateway_event::request_arrived{request}, world.now, out);
+        const auto id = std::get<gateway_action::send>(out.at(0)).id;
+        gateway.handle(gateway_event::attempt_connecting{id}, world.now, out);
+        for (const bool it : sent) {
+            if (it) {
+                gateway.handle(gateway_event::attempt_sent{id}, world.now, out);
+            }
+        }
+        out.clear();
+        world.now += milliseconds(500);
+        gateway.handle(gateway_event::time_passed{}, world.now, out);
+        const auto& answer = std::get<gateway_action::answer>(out.at(0));
+        return std::get<gateway_answer::refused>(answer.value);
+    };
+    const auto unsent = status_after({});
+    BOOST_TEST(unsent.status == 503);
+    BOOST_TEST((unsent.retry_after > duration::zero()));
+    BOOST_TEST(status_after({true}).status == 504);
+}
+
 BOOST_AUTO_TEST_CASE(answers_at_the_deadline_whatever_the_searcher_does) {
     route(repeatability::at_most_once);
     for (auto& it : world.searchers.at("desk")) {
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -26,11 +26,15 @@
     };
     scripted_server server{loop, [this](const std::string& request) { return script(request); }};
     std::map<upstream_call_id, upstream_result> results;
-    upstream_pool pool{loop, body_limit, [this](upstream_call_id id, upstream_result result) {
+    std::vector<upstream_call_id> sending; ///< calls whose connections have opened
+    upstream_pool pool{loop, body_limit,
+                       [this](upstream_call_id id, upstream_result result) {
                            BOOST_TEST(results.count(id) == 0U);
                            results[id] = std::move(result);
-                       }};
+                       },
+                       [this](upstream_call_id id) { sending.push_back(id); }};
     upstream_call_id last = 0;
+    bool sent_at_once = false; ///< the last call
 
     upstream_call_id send(const std::string& echo = "r1") {
         upstream_call call;
@@ -38,7 +42,7 @@
         call.address = server.address;
         call.request = {"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", false, "x-request-id", echo};
         call.connect_timeout = seconds(1);
-        pool.send(std::move(call));
+        sent_at_once = pool.send(std::move(call));
         return last;
     }
 
@@ -59,6 +63,25 @@
     BOOST_TEST(server.accepted == 1);
 }
 
+BOOST_AUTO_TEST_CASE(tells_when_a_request_goes_out_that_waited_for_its_connection) {
+    const auto first = send();
+    BOOST_TEST(!sent_at_once);
+    BOOST_TEST(sending.empty());
+    BOOST_REQUIRE(run_until([&] { return results.count(first) > 0; }));
+    BOOST_TEST((sending == std::vector{first}));
+    const auto second = send();
+    BOOST_TEST(sent_at_once);
+    BOOST_REQUIRE(run_until([&] { return results.count(second) > 0; }));
+    BOOST_TEST((sending == std::vector{first}));
+}
+
+BOOST_AUTO_TEST_CASE(says_nothing_of_a_request_that_is_cancelled_while_its_connection_opens) {
+    pool.cancel(send());
+    run_turns(10);
+    BOOST_TEST(sending.empty());
+    BOOST_TEST(server.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(uses_no_connection_beyond_the_time_that_its_peer_states) {
     // The last connection to an address goes as the next request looks for one.
     script = [](const auto&) { return scripted_server::reply{answer("hello", "Keep-Alive: timeout=0\r\n")}; };
