--- a/src/skylarkseam/shell/logging.cpp
+++ b/src/skylarkseam/shell/logging.cpp
@@ -10,8 +10,8 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
+#include <array>
 #include <chrono>
-#include <cstdio>
 #include <ctime>
 #include <thread>
 #include <unistd.h>
@@ -21,7 +21,8 @@
 
 namespace logging = boost::log;
 constexpr duration flush_interval = milliseconds(250);
-constexpr int flush_tries_at_end = 20; ///< 10 ms apart
+constexpr int flush_tries_at_end = 20;        ///< 10 ms apart
+constexpr std::size_t usual_line_bytes = 400; ///< an answer's line, so that it grows without copies
 
 /// The standard output, and the loop that writes it.
 struct log_target {
@@ -122,18 +123,28 @@
     line += '"';
 }
 
-/// The wall clock, for the reader's eye only; no decision depends on it.
-std::string timestamp() {
+/// The wall clock, for the reader's eye only; no decision depends on it. The part down to the second is
+/// formatted once for all lines of that second.
+void append_timestamp(std::string& line) {
+    thread_local std::time_t formatted_second = -1;
+    thread_local std::array<char, 32> second_text{};
     const auto now = std::chrono::system_clock::now();
     const auto whole = std::chrono::system_clock::to_time_t(now);
+    if (whole != formatted_second) {
+        std::tm parts{};
+        gmtime_r(&whole, &parts);
+        std::strftime(second_text.data(), second_text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+        formatted_second = whole;
+    }
     const auto ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm parts{};
-    gmtime_r(&whole, &parts);
-    std::array<char, 40> buf{};
-    const auto n = std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::snprintf(buf.data() + n, buf.size() - n, ".%03dZ", static_cast<int>(ms));
-    return buf.data();
+    constexpr std::int64_t ten = 10;
+    line += second_text.data();
+    line += '.';
+    line += static_cast<char>('0' + ms / (ten * ten));
+    line += static_cast<char>('0' + ms / ten % ten);
+    line += static_cast<char>('0' + ms % ten);
+    line += 'Z';
 }
 
 } // namespace
@@ -170,8 +181,12 @@
     if (!record) {
         return;
     }
-    std::string line = "time=" + timestamp() + " level=" + std::string(level_names.name_of(level));
-    line += " node=" + node_name() + " event=" + std::string(event);
+    std::string line;
+    line.reserve(usual_line_bytes);
+    line += "time=";
+    append_timestamp(line);
+    line.append(" level=").append(level_names.name_of(level));
+    line.append(" node=").append(node_name()).append(" event=").append(event);
     for (const auto& it : fields) {
         line += ' ';
         line += it.name;
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -195,6 +195,17 @@
     BOOST_TEST(fetch(post("x")).status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_amid_its_headers_is_forgotten) {
+    server.set_client_limits(64, milliseconds(100), seconds(60));
+    const int fd = start_connection(address);
+    BOOST_REQUIRE(send_once(fd, "GET /x HTTP/1.1\r\nHost: a\r\n"));
+    run_turns(20);
+    ::close(fd);
+    run_turns(400); // beyond the time for headers
+    BOOST_TEST(server.rejected() == 0U);
+    BOOST_TEST(fetch(post("x")).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_that_rests_too_long_is_closed) {
     server.set_client_limits(64, seconds(30), seconds(1));
     const int fd = start_connection(address);
