--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -127,6 +127,12 @@
                 const auto& update = reply.value().update;
                 const bool outdated = update.incarnation < known_.incarnation();
                 take_update(update, it.address);
+                if (update.age >= timing.max_knowledge_age) {
+                    const bool never_confirmed = update.age == duration::max();
+                    log_event(log_level::info, "peer_stale",
+                              {{"peer", it.address},
+                               {"age_ms", never_confirmed ? "unknown" : std::to_string(to_ms(update.age))}});
+                }
                 group_->take_answer(it, reply.value().view, outdated ? duration::max() : update.age,
                                     loop_.now());
             } else {
@@ -152,7 +158,7 @@
     if (update.routing && update.routing->version > known_.routing().version) {
         auto value = binding_.read_routing(update.routing->text);
         if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&value)) {
-            apply(*update.routing, std::move(*table));
+            apply(*update.routing, std::move(*table), address);
         }
     }
     note_complete();
@@ -194,7 +200,7 @@
                      {"reason", source.version < current.version ? "older version"
                                                                  : "same version with another content"}});
             }
-            apply(source, std::move(*table));
+            apply(source, std::move(*table), "store");
         }
         break;
     case store_kind::searchers: {
@@ -288,10 +294,16 @@
     }
 }
 
-void knowledge_runner::apply(const routing_source& source, std::shared_ptr<const routing_table> table) {
-    if (known_.apply(source)) {
-        handlers_.on_routing(std::move(table));
+void knowledge_runner::apply(const routing_source& source, std::shared_ptr<const routing_table> table,
+                             const std::string& from) {
+    if (!known_.apply(source)) {
+        return;
     }
+    log_event(log_level::info, "configuration_received",
+              {{"version", source.version},
+               {"from", from},
+               {"knowledge_age_ms", static_cast<std::uint64_t>(to_ms(age()))}});
+    handlers_.on_routing(std::move(table));
 }
 
 void knowledge_runner::note_complete() {
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -67,7 +67,9 @@
     void settle();
     void apply(const std::vector<registration>& changes);
     void apply(const std::vector<evacuation>& changes);
-    void apply(const routing_source& source, std::shared_ptr<const routing_table> table);
+    /// \param from  where the configuration came from, for the log
+    void apply(const routing_source& source, std::shared_ptr<const routing_table> table,
+               const std::string& from);
     void note_complete();
     void answer_followers();
     void answer(held_reply& it);
