Add failing tests of a confirmed change that comes into force late

The tests run the decisions of the product (peer_group, store_follower, store_replica) with a transport in virtual time, for refusals, silence, hosts that stand still and zones of 24 hosts.

--- /dev/null
+++ b/tests/gateway/spread_test.cpp
@@ -0,0 +1,110 @@
+// Tests that a confirmed change is in force in time on every gateway that reaches the store, whatever happens
+// to the gateways that it follows.
+#include "spread_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace skylarkseam;
+using namespace skylarkseam::testing;
+
+namespace {
+
+constexpr duration settle_time = seconds(9); ///< Longer than the discovery of the group takes
+
+/// Runs the world from a fault until a change at each of several moments after it has to be in force.
+duration longest_time_in_force(const std::function<std::unique_ptr<spread_world>()>& make,
+                               const std::function<void(spread_world&)>& fault, duration bound) {
+    duration longest{};
+    for (int phase = 0; phase < 14; ++phase) {
+        auto world = make();
+        // The fault meets the polls and watches at different moments.
+        world->run_for(settle_time + phase * milliseconds(140));
+        fault(*world);
+        world->run_for(milliseconds(phase % 7 * 400 + 40));
+        world->change_configuration();
+        world->run_for(2 * bound);
+        const auto time = world->time_in_force();
+        longest = std::max(longest, time.value_or(duration::max()));
+    }
+    return longest;
+}
+
+struct small_deployment {
+    duration bound = seconds(4);
+
+    [[nodiscard]] std::function<std::unique_ptr<spread_world>()> make() const {
+        return [bound = bound] { return std::make_unique<spread_world>(3, 3, bound); };
+    }
+};
+
+void set_access(spread_world& world, std::size_t first, store_access access) {
+    for (std::size_t zone = 0; zone < 3; ++zone) {
+        for (std::size_t n = 0; n < first; ++n) {
+            world.host(zone, n).access = access;
+        }
+    }
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_confirmed_change, small_deployment)
+
+BOOST_AUTO_TEST_CASE(is_in_force_at_once_while_nothing_fails) {
+    const auto time = longest_time_in_force(
+        make(), [](auto&) {}, bound);
+    BOOST_TEST(to_ms(time) <= 250);
+}
+
+BOOST_AUTO_TEST_CASE(is_late_when_the_store_refuses_every_watching_gateway,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    const auto time = longest_time_in_force(
+        make(), [](auto& world) { set_access(world, 1, store_access::refused); }, bound);
+    BOOST_TEST(to_ms(time) <= to_ms(bound));
+}
+
+BOOST_AUTO_TEST_CASE(is_late_when_every_watching_gateway_silently_loses_the_store,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    const auto time = longest_time_in_force(
+        make(), [](auto& world) { set_access(world, 1, store_access::silent); }, bound);
+    BOOST_TEST(to_ms(time) <= to_ms(bound));
+}
+
+BOOST_AUTO_TEST_CASE(is_late_when_all_but_one_gateway_of_each_zone_lose_the_store,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    for (const auto access : {store_access::refused, store_access::silent}) {
+        const auto time = longest_time_in_force(
+            make(), [access](auto& world) { set_access(world, 2, access); }, bound);
+        BOOST_TEST(to_ms(time) <= to_ms(bound));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_late_when_a_followed_gateway_stands_still,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    const auto time = longest_time_in_force(
+        make(),
+        [](auto& world) {
+            set_access(world, 2, store_access::refused);
+            world.host(0, 0).frozen = true;
+            world.host(0, 1).frozen = true;
+        },
+        bound);
+    BOOST_TEST(to_ms(time) <= to_ms(bound));
+}
+
+BOOST_AUTO_TEST_CASE(is_late_on_large_zones_that_lose_their_first_gateways,
+                     *boost::unit_test::label("known_red") * boost::unit_test::disabled()) {
+    const auto large_bound = seconds(5);
+    for (const auto access : {store_access::refused, store_access::silent}) {
+        spread_world world(3, 24, large_bound);
+        world.run_for(settle_time);
+        set_access(world, 8, access);
+        world.run_for(milliseconds(500));
+        world.evacuate("a");
+        world.change_configuration();
+        world.run_for(2 * large_bound);
+        BOOST_TEST(to_ms(world.time_in_force().value_or(seconds(99))) <= to_ms(large_bound));
+        BOOST_TEST(to_ms(world.time_evacuated().value_or(seconds(99))) <= to_ms(large_bound));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/spread_world.cpp
@@ -0,0 +1,342 @@
+#include "spread_world.hpp"
+
+#include <algorithm>
+
+namespace skylarkseam::testing {
+namespace {
+
+constexpr duration step = milliseconds(20);
+constexpr duration store_latency = milliseconds(6);
+constexpr duration store_reset_latency = milliseconds(2);
+constexpr duration zone_latency = microseconds(300);
+constexpr duration region_latency = milliseconds(20);
+constexpr const char* configuration_name = "main";
+
+store_value table_of(std::uint64_t version) {
+    auto table = std::make_shared<routing_table>();
+    table->version = version;
+    return std::shared_ptr<const routing_table>(std::move(table));
+}
+
+} // namespace
+
+spread_world::spread_world(std::size_t zones, std::size_t hosts_per_zone, duration bound)
+    : bound_(bound) {
+    const auto name_of_host = [](std::size_t zone, std::size_t n) {
+        return std::string(1, static_cast<char>('a' + zone)) + std::to_string(100 + n);
+    };
+    std::vector<std::string> seeds;
+    for (std::size_t zone = 0; zone < std::min<std::size_t>(zones, 3); ++zone) {
+        seeds.push_back(name_of_host(zone, 0));
+    }
+    std::uint64_t epoch = 0;
+    for (std::size_t zone = 0; zone < zones; ++zone) {
+        auto& list = hosts_.emplace_back();
+        for (std::size_t n = 0; n < hosts_per_zone; ++n) {
+            auto it = std::make_unique<spread_host>();
+            const auto name = name_of_host(zone, n);
+            it->who = {name, std::string(1, static_cast<char>('a' + zone)), name};
+            it->group = std::make_unique<peer_group>(it->who, seeds, peer_timing{}, true, now_);
+            it->follower = std::make_unique<store_follower>(store_timing{}, ++epoch);
+            it->follower->set_active(false, {}, now_);
+            it->known = std::make_unique<store_replica>(epoch);
+            by_address_[name] = it.get();
+            list.push_back(std::move(it));
+        }
+    }
+    changes_.push_back(
+        {store_kind::routing,
+         revision_,
+         {configuration_name, revision_, false, table_of(version_), std::to_string(version_)}});
+}
+
+void spread_world::for_each(const std::function<void(spread_host&)>& action) {
+    for (auto& zone : hosts_) {
+        for (auto& it : zone) {
+            action(*it);
+        }
+    }
+}
+
+void spread_world::run_for(duration time) {
+    for (const auto end = now_ + time; now_ < end; now_ += step) {
+        while (!events_.empty() && events_.begin()->first <= now_) {
+            const auto action = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            action();
+        }
+        answer_parked();
+        for_each([this](spread_host& it) {
+            if (!it.frozen) {
+                turn(it);
+            }
+        });
+    }
+}
+
+void spread_world::change_configuration() {
+    ++version_;
+    ++revision_;
+    changed_at_ = now_;
+    changes_.push_back(
+        {store_kind::routing,
+         revision_,
+         {configuration_name, revision_, false, table_of(version_), std::to_string(version_)}});
+    answer_parked();
+}
+
+void spread_world::evacuate(const std::string& zone) {
+    ++revision_;
+    evacuated_at_ = now_;
+    changes_.push_back(
+        {store_kind::evacuations, revision_, {zone, revision_, false, zone_evacuation{zone}, {}}});
+    answer_parked();
+}
+
+void spread_world::turn(spread_host& it) {
+    std::vector<peer_call> calls;
+    it.group->take_calls(now_, calls);
+    for (const auto& call : calls) {
+        call_peer(it, call);
+    }
+    it.follower->set_relaxed_retry(!it.group->watches_store_for_zone(now_));
+    it.follower->set_active(it.group->should_watch_store(it.known->confirmed(), now_), it.known->revisions(),
+                            now_);
+    run_store_calls(it);
+    answer_polls(it);
+}
+
+void spread_world::run_store_calls(spread_host& it) {
+    std::vector<store_call> calls;
+    it.follower->take_calls(now_, calls);
+    for (const auto& call : calls) {
+        ++it.store_calls;
+        send(it, call);
+    }
+}
+
+void spread_world::send(spread_host& it, const store_call& call) {
+    switch (it.access) {
+    case store_access::refused:
+        at(now_ + store_reset_latency, [this, &it, kind = call.kind] { deliver(it, kind, {}); });
+        return;
+    case store_access::silent:
+        at(now_ + call.timeout, [this, &it, kind = call.kind] { deliver(it, kind, {}); });
+        return;
+    case store_access::served:
+        at(now_ + store_latency / 2, [this, &it, call] { serve(it, call); });
+        return;
+    }
+}
+
+void spread_world::serve(spread_host& it, const store_call& call) {
+    const bool news = std::any_of(changes_.begin(), changes_.end(), [&](const auto& one) {
+        return one.kind == call.kind && one.revision > call.revision;
+    });
+    if (call.watch && !news && call.wait > duration::zero()) {
+        parked_.push_back({&it, call, now_ + call.wait});
+        return;
+    }
+    at(now_ + store_latency / 2,
+       [this, &it, call, answer = answer_to(call)] { deliver(it, call.kind, answer); });
+}
+
+store_answer spread_world::answer_to(const store_call& call) const {
+    store_answer answer;
+    answer.status = store_status::ok;
+    answer.page.revision = revision_;
+    for (const auto& one : changes_) {
+        if (one.kind == call.kind && (!call.watch || one.revision > call.revision)) {
+            answer.page.entries.push_back(one.entry);
+        }
+    }
+    return answer;
+}
+
+void spread_world::answer_parked() {
+    auto parked = std::exchange(parked_, {});
+    for (auto& it : parked) {
+        const bool cut = it.host->access != store_access::served;
+        if (cut) {
+            // The answer is lost; what the host sees is the end of its connection, or nothing.
+            const bool silent = it.host->access == store_access::silent;
+            const auto when = silent ? it.until - it.call.wait + it.call.timeout : now_;
+            at(when, [this, host = it.host, kind = it.call.kind] { deliver(*host, kind, {}); });
+            continue;
+        }
+        if (now_ < it.until && answer_to(it.call).page.entries.empty()) {
+            parked_.push_back(std::move(it));
+            continue;
+        }
+        at(now_ + store_latency / 2, [this, host = it.host, call = it.call, answer = answer_to(it.call)] {
+            deliver(*host, call.kind, answer);
+        });
+    }
+}
+
+void spread_world::deliver(spread_host& it, store_kind kind, store_answer answer) {
+    if (it.frozen) {
+        at(now_ + step, [this, &it, kind, answer] { deliver(it, kind, answer); });
+        return;
+    }
+    std::vector<store_output> events;
+    it.follower->take_answer(kind, std::move(answer), now_, events);
+    for (auto& event : events) {
+        if (auto* const changed = std::get_if<store_event::entry_changed>(&event)) {
+            if (changed->kind == store_kind::routing) {
+                const auto& table = std::get<std::shared_ptr<const routing_table>>(changed->entry.value);
+                take_routing(it, {table->version, changed->entry.text});
+            } else {
+                it.known->apply(evacuation{changed->entry.name, changed->entry.revision, true});
+            }
+        } else if (const auto* const listed = std::get_if<store_event::listed>(&event)) {
+            it.known->advance(listed->kind, listed->revision);
+            it.known->confirm(now_);
+        } else if (const auto* const confirmed = std::get_if<store_event::confirmed>(&event)) {
+            it.known->advance(confirmed->kind, confirmed->revision);
+            it.known->confirm(now_);
+        }
+    }
+    note_evacuations(it);
+    answer_polls(it);
+    run_store_calls(it);
+}
+
+void spread_world::call_peer(spread_host& it, const peer_call& call) {
+    auto* const other = at_address(call.address);
+    const auto timeout = peer_timing{}.call_timeout;
+    if (other == nullptr) {
+        fail_peer_call(it, call, timeout);
+        return;
+    }
+    const auto view = it.group->view_for({}, now_);
+    const auto delay = latency(it, *other);
+    if (call.what == peer_call::kind::greet) {
+        at(now_ + delay, [this, &it, other, call, view, delay, timeout] {
+            if (other->frozen) {
+                fail_peer_call(it, call, timeout);
+                return;
+            }
+            other->group->take_call(view, now_);
+            const auto reply = other->group->view_for(it.who.zone, now_);
+            at(now_ + delay, [this, &it, call, reply] { it.group->take_answer(call, reply, {}, now_); });
+        });
+        return;
+    }
+    const auto wait = peer_timing{}.follow_wait;
+    const auto position = it.positions[call.address];
+    at(now_ + delay, [this, &it, other, call, view, position, wait, timeout] {
+        if (other->frozen) {
+            fail_peer_call(it, call, wait + timeout);
+            return;
+        }
+        take_poll(*other, {it.who.address, view, position, now_ + wait});
+    });
+}
+
+void spread_world::fail_peer_call(spread_host& it, const peer_call& call, duration after) {
+    at(now_ + after, [this, &it, call] { it.group->take_answer(call, std::nullopt, {}, now_); });
+}
+
+void spread_world::take_poll(spread_host& source, spread_host::held_poll poll) {
+    source.group->take_call(poll.view, now_);
+    source.held.push_back(std::move(poll));
+    answer_polls(source);
+}
+
+void spread_world::answer_polls(spread_host& source) {
+    std::erase_if(source.held, [&](const auto& poll) {
+        const bool due = now_ >= poll.until || !source.known->update_since(poll.position, now_).empty();
+        if (due) {
+            answer_poll(source, poll);
+        }
+        return due;
+    });
+}
+
+void spread_world::answer_poll(spread_host& source, const spread_host::held_poll& poll) {
+    auto* const follower = at_address(poll.follower);
+    const auto update = source.known->update_since(poll.position, now_);
+    const auto view =
+        source.group->view_for_follower(follower->who, poll.position.epoch == update.epoch, now_);
+    const peer_call call{peer_call::kind::follow, source.who.address};
+    at(now_ + latency(source, *follower),
+       [this, follower, call, view, update] { take_update(*follower, call, view, update); });
+}
+
+void spread_world::take_update(spread_host& it, const peer_call& call, const group_view& view,
+                               const replica_update& update) {
+    it.known->apply(update);
+    if (update.routing) {
+        take_routing(it, *update.routing);
+    }
+    if (update.age < peer_timing{}.max_knowledge_age) {
+        it.known->confirm(now_ - update.age);
+    }
+    it.positions[call.address] = {update.epoch, update.sequence, it.known->routing().version, 0};
+    note_evacuations(it);
+    it.group->take_answer(call, view, update.age, now_);
+    if (!it.frozen) {
+        turn(it);
+    }
+}
+
+void spread_world::take_routing(spread_host& it, const routing_source& source) {
+    if (it.known->apply(source)) {
+        it.versions[source.version] = now_;
+    }
+}
+
+void spread_world::note_evacuations(spread_host& it) {
+    if (!it.evacuated_at && !it.known->evacuated_zones().empty()) {
+        it.evacuated_at = now_;
+    }
+}
+
+std::optional<duration> spread_world::time_in_force() {
+    duration longest{};
+    bool everywhere = true;
+    for_each([&](spread_host& it) {
+        const auto found = it.versions.find(version_);
+        if (it.access != store_access::served || it.frozen) {
+            return;
+        }
+        everywhere = everywhere && found != it.versions.end();
+        if (found != it.versions.end()) {
+            longest = std::max(longest, found->second - changed_at_);
+        }
+    });
+    return everywhere ? std::optional(longest) : std::nullopt;
+}
+
+std::optional<duration> spread_world::time_evacuated() {
+    duration longest{};
+    bool everywhere = true;
+    for_each([&](spread_host& it) {
+        if (it.access != store_access::served || it.frozen) {
+            return;
+        }
+        everywhere = everywhere && it.evacuated_at.has_value();
+        if (it.evacuated_at) {
+            longest = std::max(longest, *it.evacuated_at - evacuated_at_);
+        }
+    });
+    return everywhere ? std::optional(longest) : std::nullopt;
+}
+
+std::uint64_t spread_world::store_calls() {
+    std::uint64_t n = 0;
+    for_each([&](spread_host& it) { n += it.store_calls; });
+    return n;
+}
+
+spread_host* spread_world::at_address(const std::string& address) {
+    const auto found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : found->second;
+}
+
+duration spread_world::latency(const spread_host& a, const spread_host& b) {
+    return a.who.zone == b.who.zone ? zone_latency : region_latency;
+}
+
+} // namespace skylarkseam::testing
