Count a searcher's leaving from the earliest moment its entry may be from

A gateway kept a draining searcher as a last resort for 2.5 s from when it learned of the drain. A gateway whose source had lost the store learns of it up to 3.2 s late, so requests could reach the searcher 5.7 s after the store acknowledged the drain; the bound is 4 s.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -9,7 +9,7 @@
     , timing_(timing)
     , on_change_(std::move(on_change)) {}
 
-void directory::add(const searcher_record& record, time_point now) {
+void directory::add(const searcher_record& record, time_point left_at, time_point now) {
     auto it = std::make_shared<known_searcher>();
     it->record = record;
     const auto region = view_.region_of_zone.find(record.zone);
@@ -22,7 +22,7 @@
     it->evacuated = evacuated_.contains(record.zone);
     it->cold_until = now + record.cold_for;
     if (record.draining) {
-        it->leaving = now;
+        it->leaving = left_at;
     }
     by_id_[record.id] = it;
     by_service_[record.service].push_back(it);
@@ -41,7 +41,8 @@
     return removed != removed_.end() && removed->second.started_at == record.started_at;
 }
 
-void directory::put(const searcher_record& record, time_point now) {
+void directory::put(const searcher_record& record, time_point now, duration knowledge_age) {
+    const auto left_at = now - knowledge_age;
     held_back_.erase(record.id);
     if (may_be_outdated(record, now)) {
         held_back_[record.id] = record;
@@ -50,7 +51,7 @@
     removals_.erase(record.id);
     const auto found = by_id_.find(record.id);
     if (found == by_id_.end()) {
-        add(record, now);
+        add(record, left_at, now);
         return;
     }
     auto& known = *found->second;
@@ -60,7 +61,7 @@
     if (!same_start) {
         on_change_(known, "forgotten", "it started again");
         drop(record.id);
-        add(record, now);
+        add(record, left_at, now);
         return;
     }
     if (!known.registered) {
@@ -73,7 +74,7 @@
     if (!record.draining && !known.announced_leaving) {
         known.leaving.reset();
     } else if (!known.leaving) {
-        known.leaving = now;
+        known.leaving = left_at;
     }
     if (record.cold_for != known.record.cold_for) {
         known.cold_until = now + record.cold_for;
@@ -81,7 +82,7 @@
     known.record = record;
 }
 
-void directory::remove(const std::string& id, bool store_was_away, time_point now) {
+void directory::remove(const std::string& id, bool store_was_away, time_point now, duration knowledge_age) {
     held_back_.erase(id);
     const auto found = by_id_.find(id);
     if (found == by_id_.end() || !found->second->registered) {
@@ -91,7 +92,7 @@
     it.registered = false;
     // During a store outage the entry of a running searcher can expire, so the searcher stays in use.
     if (!store_was_away && !it.leaving) {
-        it.leaving = now;
+        it.leaving = now - knowledge_age;
     }
     removals_[id] = now + timing_.removal_grace;
     on_change_(it, "entry_gone", store_was_away ? "the store was away" : "entry removed");
--- a/src/skylarkseam/gateway/directory.hpp
+++ b/src/skylarkseam/gateway/directory.hpp
@@ -25,7 +25,8 @@
     /// serve for a while. Entries that expired during a store outage reappear within about two seconds after
     /// the store is available again.
     duration removal_grace = milliseconds(2300);
-    /// Time after which a draining searcher gets no requests at all, even if no other searcher is available.
+    /// Time after which a draining searcher gets no requests at all, even if no other searcher is available;
+    /// counted from the earliest moment at which its entry may have been written.
     duration drain_grace = milliseconds(2500);
     /// Time after the store has returned from an older copy of its data in which an entry does not bring a
     /// leaving searcher back: the copy may be older than the searcher's last entry.
@@ -47,10 +48,12 @@
     directory(placement_view view, directory_timing timing, observer on_change);
 
     /// Adds or updates a searcher from its current registration in the store.
-    void put(const searcher_record& record, time_point now);
+    /// \param knowledge_age  time since the store confirmed what was known before; the entry may have been
+    /// written at any moment of it
+    void put(const searcher_record& record, time_point now, duration knowledge_age = {});
     /// Handles the removal of a searcher's entry from the store.
     /// \param store_was_away  the store had an outage, so the entry may have expired while the searcher runs
-    void remove(const std::string& id, bool store_was_away, time_point now);
+    void remove(const std::string& id, bool store_was_away, time_point now, duration knowledge_age = {});
     /// Removes all searchers that are not in a full listing of the store.
     void retain(const std::set<std::string>& listed, bool store_was_away, time_point now);
 
@@ -75,7 +78,8 @@
     [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
 
 private:
-    void add(const searcher_record& record, time_point now);
+    /// \param left_at  time at which a draining searcher may have begun to leave
+    void add(const searcher_record& record, time_point left_at, time_point now);
     /// Whether the entry may be older than what is known, because the store has returned from an older copy.
     [[nodiscard]] bool may_be_outdated(const searcher_record& record, time_point now) const;
     void drop(const std::string& id);
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -130,12 +130,13 @@
     }
 
     void take_searchers(const std::vector<registration>& changes) {
+        const auto knowledge_age = knowledge_.age();
         front_.update([&](directory& searchers) {
             for (const auto& it : changes) {
                 if (it.record) {
-                    searchers.put(*it.record, loop_.now());
+                    searchers.put(*it.record, loop_.now(), knowledge_age);
                 } else {
-                    searchers.remove(it.id, it.store_was_away, loop_.now());
+                    searchers.remove(it.id, it.store_was_away, loop_.now(), knowledge_age);
                 }
             }
         });
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -297,6 +297,27 @@
     BOOST_TEST((known.of_service("s").at(0)->fault == searcher_fault::none));
 }
 
+BOOST_FIXTURE_TEST_CASE(uses_a_draining_searcher_too_long_when_its_entry_came_late, directory_fixture) {
+    constexpr duration late = milliseconds(3200);
+    constexpr duration bound = seconds(4); // From the moment at which the searcher's entry was written
+    known.put(record("x"), now);
+    known.put(record("y"), now);
+    now += late;
+    auto it = record("x");
+    it.draining = true;
+    known.put(it, now, late);
+    known.remove("y", false, now, late);
+    const auto used_until = [&](const std::string& id) {
+        auto when = now;
+        while (!known.drained(*known.all().at(id), when)) {
+            when += milliseconds(50);
+        }
+        return when - (now - late);
+    };
+    BOOST_TEST(to_ms(used_until("x")) <= to_ms(bound));
+    BOOST_TEST(to_ms(used_until("y")) <= to_ms(bound));
+}
+
 BOOST_FIXTURE_TEST_CASE(excludes_a_draining_searcher_after_its_grace_period, directory_fixture) {
     auto it = record("x");
     it.draining = true;
