Keep to a host's share of the rate that a searcher states

Cause: no decision knew of a rate; a searcher's own statements were limited to leaving and Retry-After. Change: the limit of each answer goes into the searcher's rate_share, a token bucket of 1/N of the rate over N hosts, whose size keeps all hosts together below 1.4 times the rate and four requests in any 4 s. placement takes a searcher without room as one that accepts nothing until its share has room, so that retries, hedges and probes keep to it too and a refusal names that time. An answer without a limit lifts it. The answers' statements stand in gateway_announcements.cpp now.

Tests: rate_limit_test, 8 cases; without the share six fail (593, 597 and 108 requests against 179, 179 and 80, and others), with it none.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -53,6 +53,8 @@
     bool searcher_leaving = false; ///< True if the searcher announced in its answer that it shuts down.
     /// Time for which the searcher wants no requests from this host.
     std::optional<duration> back_off{};
+    /// Requests that the searcher accepts each second from all hosts together, if its answer states that.
+    std::optional<double> rate_limit{};
     /// Time to open the connection; set only if the attempt opened a new one.
     std::optional<duration> connect_time{};
     std::string detail; ///< Description of the fault if there is no response.
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -35,6 +35,7 @@
     std::uint64_t cancelled = 0;         ///< Attempts that the gateway aborted.
     std::uint64_t leaving_announced = 0; ///< Searchers that announced their shutdown in an answer.
     std::uint64_t back_offs = 0;         ///< Refusals in which a searcher asked for no requests for a time.
+    std::uint64_t rate_limits = 0;       ///< Searchers that began to state a rate limit.
 };
 
 /// Invariants: each request gets exactly one answer unless its client disconnects. A request that is answered
@@ -131,6 +132,7 @@
     [[nodiscard]] bool budget_is_low(const std::string& service, time_point now);
     /// Records what a searcher announced about itself in an answer.
     void record_announcements(known_searcher& it, const attempt_result& result, time_point now);
+    void record_rate_limit(known_searcher& it, const attempt_result& result, time_point now);
     void record_result(attempt& ended, const attempt_result& result, time_point now, output& out);
 
     /// Answers the request if it is complete or its time is up.
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -205,25 +205,6 @@
     }
 }
 
-void gateway::record_announcements(known_searcher& it, const attempt_result& result, time_point now) {
-    // An answer of another searcher at the same address says nothing of this one.
-    if (result.outcome == attempt_outcome::replaced) {
-        return;
-    }
-    if (result.searcher_leaving && it.on_leaving_announced(now)) {
-        ++counters_.leaving_announced;
-        pending_reports_.push_back({it.record.id, it.record.service, "draining", "announced in an answer"});
-    }
-    if (result.back_off) {
-        ++counters_.back_offs;
-        if (it.on_back_off(*result.back_off, now)) {
-            pending_reports_.push_back(
-                {it.record.id, it.record.service, "backing_off",
-                 "asked for no requests for " + std::to_string(to_ms(*result.back_off)) + " ms"});
-        }
-    }
-}
-
 void gateway::apply_result(const run_ptr& run, std::size_t part, attempt_result& result, time_point now,
                            output& out) {
     auto& it = run->parts[part];
--- a/src/skylarkseam/gateway/http_dialect.hpp
+++ b/src/skylarkseam/gateway/http_dialect.hpp
@@ -12,8 +12,10 @@
     std::string time_left;  ///< Milliseconds that the sender will still wait.
     /// ID of the searcher that the request is meant for; any other searcher answers 421.
     std::string expected_id;
-    std::string not_run;           ///< Set in a searcher's refusal if the searcher did not run the request.
-    std::string leaving;           ///< Set to 1 in the answers of a searcher that is about to shut down.
+    std::string not_run; ///< Set in a searcher's refusal if the searcher did not run the request.
+    std::string leaving; ///< Set to 1 in the answers of a searcher that is about to shut down.
+    /// Requests a second that a searcher in need accepts from all hosts together, in its answers.
+    std::string rate_limit;
     std::string store_incarnation; ///< Incarnation of the store, in all its answers.
     std::string proof;             ///< A searcher's proof of its answer.
     std::string part_proofs;       ///< Proofs of all parts of a merged answer.
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -49,6 +49,7 @@
         probe_at = now + probe_interval;
     }
     cold_allowance = std::max(0.0, cold_allowance - 1.0);
+    rate.on_sent();
 }
 
 void known_searcher::refill_cold_allowance(double per_second, time_point now) {
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
+#include <skylarkseam/gateway/rate_share.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -60,6 +61,7 @@
     std::optional<time_point> new_connection_lost_at{};
     /// Time up to which the searcher wants no requests from this host.
     time_point back_off_until{};
+    rate_share rate;        ///< This host's share of the rate that the searcher states, if it states one.
     bool evacuated = false; ///< True if the searcher's zone must get no work.
     time_point cold_until{};
 
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -94,9 +94,11 @@
             !in_regions(request.home_regions, it->region) || contains(request.tried, it.get())) {
             continue;
         }
-        if (it->backing_off(request.now)) {
+        const auto accepts_at =
+            std::max(it->back_off_until, it->rate.next_at(request.hosts.total, request.now));
+        if (request.now < accepts_at) {
             const bool first = best.available_at == time_point{};
-            best.available_at = first ? it->back_off_until : std::min(best.available_at, it->back_off_until);
+            best.available_at = first ? accepts_at : std::min(best.available_at, accepts_at);
             if (best.outcome == placement_outcome::none || best.outcome == placement_outcome::down) {
                 best.outcome = placement_outcome::backing_off;
             }
--- a/src/skylarkseam/gateway/placement.hpp
+++ b/src/skylarkseam/gateway/placement.hpp
@@ -35,7 +35,7 @@
 enum class placement_outcome {
     found,
     full,        ///< There are searchers, but none has a free connection slot now.
-    backing_off, ///< Every usable searcher has asked for no requests for some time.
+    backing_off, ///< Every usable searcher accepts no requests for some time.
     down,        ///< There are searchers, but all are faulty and none is due for a probe.
     none,        ///< No searcher may get the request.
 };
@@ -51,8 +51,8 @@
     bool probe_due = false;
     /// Maximum number of open requests at the searchers without a free slot, if the outcome is `full`.
     std::uint32_t max_open = 0;
-    /// Time at which the first searcher that is backing off takes requests again; set if the outcome is
-    /// `backing_off`.
+    /// Time at which the first searcher accepts requests again that is backing off or has had this host's
+    /// share of its rate; set if the outcome is `backing_off`.
     time_point available_at{};
 };
 
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -171,6 +171,7 @@
         metrics_.gauge("extra_denied", {}, static_cast<double>(counters.extra_denied));
         metrics_.gauge("searchers_leaving_announced", {}, static_cast<double>(counters.leaving_announced));
         metrics_.gauge("searcher_back_offs", {}, static_cast<double>(counters.back_offs));
+        metrics_.gauge("searcher_rate_limits", {}, static_cast<double>(counters.rate_limits));
         metrics_.gauge("upstream_connections", {}, static_cast<double>(front_.pool().connections));
         metrics_.gauge("upstream_connections_opened", {},
                        static_cast<double>(front_.pool().connections_opened));
--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -60,6 +60,15 @@
     return milliseconds(ms);
 }
 
+/// A finite decimal number that is not negative.
+std::optional<double> parse_decimal(const std::string& text) {
+    double value = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool valid = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() &&
+                       std::isfinite(value) && value >= 0.0;
+    return valid ? std::optional(value) : std::nullopt;
+}
+
 /// The time that a searcher's refusal asks for; absent where it names none. A value that is not a number of
 /// seconds is logged and ignored, one that is too long is logged and shortened.
 std::optional<duration> parse_back_off(const upstream_response& response) {
@@ -67,18 +76,29 @@
     if (response.status != status_unavailable || text == nullptr) {
         return std::nullopt;
     }
-    double value = 0.0;
-    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
-    const bool valid = parsed.ec == std::errc{} && parsed.ptr == text->data() + text->size() &&
-                       std::isfinite(value) && value >= 0.0;
-    if (!valid) {
+    const auto value = parse_decimal(*text);
+    if (!value) {
         log_event(log_level::warning, "retry_after_ignored", {{"value", *text}});
         return std::nullopt;
     }
-    if (value > max_back_off_seconds) {
+    if (*value > max_back_off_seconds) {
         log_event(log_level::warning, "retry_after_shortened", {{"value", *text}});
     }
-    return milliseconds(static_cast<std::int64_t>(std::min(value, max_back_off_seconds) * 1000.0));
+    return milliseconds(static_cast<std::int64_t>(std::min(*value, max_back_off_seconds) * 1000.0));
+}
+
+/// The requests a second that a searcher accepts; absent where it states no limit. A value that is not a
+/// number of requests is logged and ignored.
+std::optional<double> parse_rate_limit(const upstream_response& response, const http_dialect& names) {
+    const auto* const text = response.header(names.rate_limit);
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    const auto value = parse_decimal(*text);
+    if (!value) {
+        log_event(log_level::warning, "rate_limit_ignored", {{"value", *text}});
+    }
+    return value;
 }
 
 /// Seconds with three decimals, as Retry-After takes them here.
@@ -186,6 +206,7 @@
     const auto* const leaving = response.header(names.leaving);
     out.searcher_leaving = leaving != nullptr && *leaving == "1";
     out.back_off = parse_back_off(response);
+    out.rate_limit = parse_rate_limit(response, names);
     if (response.header(names.not_run) != nullptr) {
         out.outcome = attempt_outcome::refused;
         out.detail = "status " + std::to_string(response.status);
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -257,6 +257,7 @@
     }
     attempt_result result;
     result.searcher_leaving = it.behaviour.leaving;
+    result.rate_limit = it.behaviour.rate_limit;
     if (it.behaviour.replaced) {
         result.outcome = attempt_outcome::replaced;
         reply(it, attempt, result);
@@ -306,6 +307,7 @@
         attempt_result result;
         result.outcome = attempt_outcome::answered;
         result.searcher_leaving = it.behaviour.leaving;
+        result.rate_limit = it.behaviour.rate_limit;
         result.response.status = uniform() < it.behaviour.failed_share ? 500 : 200;
         result.response.proof = it.record.id + ":" + id;
         result.response.body = std::string(16, 'r');
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -27,6 +27,8 @@
     bool leaving = false;       ///< True if each answer announces that the searcher shuts down.
     /// If set, the searcher refuses all requests and asks each host for none during that time.
     std::optional<duration> back_off;
+    /// If set, each answer states that the searcher accepts so many requests a second from all hosts.
+    std::optional<double> rate_limit;
     duration pause{};       ///< Length of a pause, in which the searcher does no work.
     duration pause_every{}; ///< Interval between the starts of two pauses; 0 if the searcher never pauses.
     duration pause_offset{};
--- a/tests/shell/gateway_front_test.cpp
+++ b/tests/shell/gateway_front_test.cpp
@@ -16,8 +16,8 @@
                                  return scripted_server::reply{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
                                                                "X-Proof: p\r\n\r\nhello"};
                              }};
-    platform_binding binding{{"x-id", "x-left", "x-for", "x-not-run", "x-leaving", "x-incarnation", "x-proof",
-                              "x-proofs", "x-missing", "/r"},
+    platform_binding binding{{"x-id", "x-left", "x-for", "x-not-run", "x-leaving", "x-limit", "x-incarnation",
+                              "x-proof", "x-proofs", "x-missing", "/r"},
                              {},
                              {},
                              {}};
--- a/tests/shell/request_forwarding_test.cpp
+++ b/tests/shell/request_forwarding_test.cpp
@@ -11,6 +11,7 @@
     http_dialect out;
     out.not_run = "x-refused";
     out.leaving = "x-leaving";
+    out.rate_limit = "x-limit";
     out.proof = "x-proof";
     return out;
 }
@@ -52,4 +53,16 @@
     BOOST_TEST((read(503, {{"Retry-After", "1e12"}}).back_off == seconds(300)));
 }
 
+BOOST_AUTO_TEST_CASE(may_state_how_many_requests_a_second_it_accepts) {
+    BOOST_TEST(read(200, {{"X-Limit", "29.3"}}).rate_limit.value() == 29.3);
+    BOOST_TEST(read(503, {{"X-Limit", "0"}, {"X-Refused", "1"}}).rate_limit.value() == 0.0);
+    BOOST_TEST(read(500, {{"X-Limit", "7"}}).rate_limit.value() == 7.0);
+    BOOST_TEST(!read(200, {}).rate_limit.has_value());
+    for (const auto* const it : {"-1", "many", "", "nan", "inf", "1e999", "3/s", "0x10"}) {
+        BOOST_TEST(!read(200, {{"X-Limit", it}}).rate_limit.has_value(), it);
+    }
+    // An answer of another searcher at the same address says nothing of this one.
+    BOOST_TEST(!read(421, {{"X-Limit", "7"}}).rate_limit.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
