Check an answer's stated length before memory is reserved for it

Cause: after a stated length over its limit the parser of Boost 1.74, in eager mode, goes on with the bytes behind the head, and its body reserves memory for the stated length. The gateway's own check came after that. Change: the head is parsed alone; the body follows once its stated length has passed the check.

an_answer_that_never_ends / in_its_body ended with bad_alloc before and passes; the other cases of its head passed before too.

--- a/src/skylarkseam/shell/response_reader.cpp
+++ b/src/skylarkseam/shell/response_reader.cpp
@@ -42,7 +42,9 @@
 
     void begin_response() {
         response.emplace();
-        response->eager(true);
+        // The body follows once the stated length has been checked: after a length over its limit the parser
+        // of Boost 1.74 goes on with the bytes behind the head, and reserves memory for that length.
+        response->eager(false);
         response->header_limit(header_limit);
         // Boost 1.74 fails without a limit where a head ends exactly at the end of a read.
         response->body_limit(body_limit);
@@ -62,6 +64,9 @@
             }
             const auto used = response->put(boost::asio::buffer(in), ec);
             in.erase(0, used);
+            if (response->is_header_done() && !response->eager()) {
+                response->eager(true);
+            }
             // The parser's own limit holds for a stated length only.
             if (ec == http::error::body_limit || response->get().body().size() > body_limit) {
                 return fail("the answer is longer than " + std::to_string(body_limit) + " bytes");
--- /dev/null
+++ b/tests/shell/endless_answer_test.cpp
@@ -0,0 +1,150 @@
+// Answers of searchers that never end, in the head or in the body. Each is given up after a bounded number of
+// bytes, its connection is closed, and the request counts as sent.
+#include <skylarkseam/shell/socket_address.hpp>
+#include <skylarkseam/shell/upstream_pool.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <sys/socket.h>
+#include <tests/shell/loop_fixture.hpp>
+#include <unistd.h>
+
+using namespace skylarkseam;
+
+namespace {
+
+constexpr std::size_t body_limit = 1U << 16U;
+/// What a searcher can send before the client sees that it is too much: the limit of a body and what the
+/// sockets hold.
+constexpr std::size_t most_bytes = body_limit + (8U << 20U);
+/// What the server sends at most, so that a client without a bound fails the test and not the machine.
+constexpr std::size_t server_bytes = 64U << 20U;
+
+/// A server that sends `begin` and then `repeat` again and again until its peer closes the connection.
+class endless_server {
+public:
+    endless_server(event_loop& loop, std::string begin, std::string repeat)
+        : loop_(loop)
+        , begin_(std::move(begin))
+        , fd_(open_listener("127.0.0.1:0"))
+        , address(bound_address(fd_)) {
+        while (repeat_.size() < block_bytes) {
+            repeat_ += repeat;
+        }
+        loop_.watch(fd_, {true, false}, [this](readiness) { accept_one(); });
+    }
+    ~endless_server() {
+        close_peer();
+        loop_.unwatch(fd_);
+        ::close(fd_);
+    }
+    endless_server(const endless_server&) = delete;
+    endless_server& operator=(const endless_server&) = delete;
+
+    [[nodiscard]] bool closed() const { return accepted_ && peer_ < 0; }
+    std::size_t sent = 0;
+
+private:
+    static constexpr std::size_t block_bytes = 1U << 14U;
+
+    void accept_one() {
+        peer_ = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        accepted_ = true;
+        loop_.watch(peer_, {true, false}, [this](readiness) { begin(); });
+    }
+
+    void begin() {
+        char buf[4096]; // NOLINT(modernize-avoid-c-arrays)
+        if (::recv(peer_, buf, sizeof buf, 0) <= 0) {
+            close_peer();
+            return;
+        }
+        out_ = begin_;
+        loop_.watch(peer_, {true, true}, [this](readiness) { go_on(); });
+    }
+
+    void go_on() {
+        if (out_.empty() && sent < server_bytes) {
+            out_ = repeat_;
+        }
+        if (out_.empty()) {
+            loop_.watch(peer_, {true, false}, [this](readiness) { close_peer(); });
+            return;
+        }
+        const auto n = ::send(peer_, out_.data(), out_.size(), MSG_NOSIGNAL);
+        if (n < 0 && errno != EAGAIN) {
+            close_peer();
+        } else if (n > 0) {
+            sent += static_cast<std::size_t>(n);
+            out_.erase(0, static_cast<std::size_t>(n));
+        }
+    }
+
+    void close_peer() {
+        if (peer_ >= 0) {
+            loop_.unwatch(peer_);
+            ::close(peer_);
+            peer_ = -1;
+        }
+    }
+
+    event_loop& loop_;
+    std::string begin_;
+    std::string repeat_;
+    std::string out_;
+    int fd_;
+    int peer_ = -1;
+    bool accepted_ = false;
+
+public:
+    const std::string address;
+};
+
+struct endless_fixture : loop_fixture {
+    std::optional<upstream_result> result;
+    upstream_pool pool{loop, body_limit,
+                       [this](upstream_call_id, upstream_result it) { result = std::move(it); },
+                       [](upstream_call_id) {}};
+
+    void check_is_given_up(const std::string& begin, const std::string& repeat) {
+        endless_server server(loop, begin, repeat);
+        result.reset();
+        upstream_call call;
+        call.id = 1;
+        call.address = server.address;
+        call.request = {"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", false, "x-request-id", "r1"};
+        call.connect_timeout = seconds(1);
+        pool.send(std::move(call));
+        BOOST_TEST_REQUIRE(run_until([&] { return result.has_value() && server.closed(); }));
+        BOOST_TEST(!result->response.has_value());
+        BOOST_TEST(result->sent);
+        BOOST_TEST(!result->detail.empty());
+        BOOST_TEST(server.sent <= most_bytes);
+    }
+};
+
+const std::string status_line = "HTTP/1.1 200 OK\r\n";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_answer_that_never_ends, endless_fixture)
+
+BOOST_AUTO_TEST_CASE(in_its_first_line) {
+    check_is_given_up("", "x");
+    check_is_given_up("HTTP/1.1 200 ", "x");
+    check_is_given_up("", "\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(in_its_head) {
+    check_is_given_up(status_line, "X-More: yes\r\n");
+    check_is_given_up(status_line + "X-More: ", "x");
+    check_is_given_up(status_line, "x");
+}
+
+BOOST_AUTO_TEST_CASE(in_its_body) {
+    check_is_given_up(status_line + "Content-Length: 99999999999\r\n\r\n", "x");
+    check_is_given_up(status_line + "Connection: close\r\n\r\n", "x");
+    check_is_given_up(status_line + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
