Give up answers of searchers that never end

Interim answers without end, the line before a chunk and the trailer of a chunked body were read until the request's time was over, with all bytes of the latter two kept in memory.

Cause: the limits of the parser cover a head and a stated length; the gateway's own covers a body. Change: at most 64 KB may stay unparsed, and at most 16 interim answers precede one. The answer then counts as broken, its connection is closed and the request as one that may have run.

before_its_head_with_interim_answers and between_the_chunks_of_its_body failed before (no end within 20,000 turns of the loop) and pass. Answers of the store and of other gateways are bounded by libcurl and http_client (16 MB, call timeouts) and by the frame limit; read, not run.

--- a/src/skylarkseam/shell/response_reader.cpp
+++ b/src/skylarkseam/shell/response_reader.cpp
@@ -14,6 +14,9 @@
 using parser = http::response_parser<http::string_body>;
 
 constexpr std::uint32_t header_limit = 32U << 10U;
+/// Bytes that the parser may leave for later: a head, the line before a chunk or the trailer of a body.
+constexpr std::size_t unparsed_limit = 2 * header_limit;
+constexpr int max_interim_responses = 16;
 constexpr int status_continue = 100;
 constexpr int status_ok = 200;
 
@@ -33,6 +36,7 @@
     bool to_head = false;
     std::string in; ///< bytes that the parser has not taken yet
     std::optional<parser> response;
+    int interim_responses = 0;
     std::string fault;
 
     reading_state fail(std::string text) {
@@ -72,7 +76,9 @@
                 return fail("the answer is longer than " + std::to_string(body_limit) + " bytes");
             }
             if (ec == http::error::need_more) {
-                return reading_state::incomplete;
+                return in.size() <= unparsed_limit
+                           ? reading_state::incomplete
+                           : fail("more than " + std::to_string(unparsed_limit) + " bytes without an end");
             }
             if (ec) {
                 return fail("not an HTTP response: " + ec.message());
@@ -86,6 +92,9 @@
             if (!is_interim()) {
                 return reading_state::complete;
             }
+            if (++interim_responses > max_interim_responses) {
+                return fail("more than " + std::to_string(max_interim_responses) + " interim answers");
+            }
             response.reset();
         }
         return reading_state::incomplete;
@@ -103,6 +112,7 @@
     impl_->to_head = to_head;
     impl_->in.clear();
     impl_->response.reset();
+    impl_->interim_responses = 0;
     impl_->fault.clear();
 }
 
--- a/tests/shell/endless_answer_test.cpp
+++ b/tests/shell/endless_answer_test.cpp
@@ -141,10 +141,23 @@
     check_is_given_up(status_line, "x");
 }
 
+BOOST_AUTO_TEST_CASE(before_its_head_with_interim_answers) {
+    check_is_given_up("", "HTTP/1.1 100 Continue\r\n\r\n");
+    check_is_given_up("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(in_its_body) {
     check_is_given_up(status_line + "Content-Length: 99999999999\r\n\r\n", "x");
     check_is_given_up(status_line + "Connection: close\r\n\r\n", "x");
     check_is_given_up(status_line + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n");
 }
 
+BOOST_AUTO_TEST_CASE(between_the_chunks_of_its_body) {
+    const auto chunked = status_line + "Transfer-Encoding: chunked\r\n\r\n";
+    check_is_given_up(chunked, "0");
+    check_is_given_up(chunked + "4;", "x");
+    check_is_given_up(chunked + "4\r\nabcd\r\n0\r\n", "X-More: yes\r\n");
+    check_is_given_up(chunked + "4\r\nabcd\r\n0\r\nX-More: ", "x");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
