--- a/tests/gateway/probing_test.cpp
+++ b/tests/gateway/probing_test.cpp
@@ -54,9 +54,9 @@
     it.world.load("/search/x", 60.0, seconds(24));
     it.world.run_for(seconds(4));
     it.set_dark(true);
-    it.world.run_for(seconds(10)); // Each host has had a few requests by then.
+    it.world.run_for(seconds(4));
     it.world.results.clear();
-    it.world.run_for(seconds(10));
+    it.world.run_for(seconds(16));
     BOOST_TEST(it.served() > 0.95);
 }
 
