Reset new connections after a moment in the test of the connection watch

sends_nothing_on_one_that_its_peer_resets passed without the watch, since the connection was reset before anything could be sent on it. The server now resets it 5 ms after accepting it, within the watch of 20 ms. With the watch switched off two checks of it fail (sent, sending), with it none.

--- a/tests/shell/scripted_server.hpp
+++ b/tests/shell/scripted_server.hpp
@@ -51,7 +51,8 @@
     }
 
     int accepted = 0;
-    bool reset_new_connections = false; ///< as a server that is over its limit of connections
+    bool reset_new_connections = false;     ///< as a server that is over its limit of connections
+    duration reset_after = milliseconds(5); ///< From accepting a connection until its reset
     std::vector<std::string> requests;
 
 private:
@@ -62,9 +63,11 @@
         }
         ++accepted;
         if (reset_new_connections) {
-            const linger at_once{1, 0};
-            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-            ::close(fd);
+            loop_.run_after(reset_after, [fd] {
+                const linger at_once{1, 0};
+                ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+                ::close(fd);
+            });
             return;
         }
         connections_[fd];
