--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 class Checks:
     BUDGET_RATIO, BUDGET_WINDOW = 0.2, 10.0
+    LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK, LIMIT_ADAPT_S, LIMIT_TOLD_S = 4.0, 1.5, 5, 5.0, 0.5
 
     def __init__(self, world):
         self.world = world
@@ -55,6 +56,19 @@
             if refused[2] > 2:
                 self.fail("budget", f"{request_id} reached {searcher.name} before the time that it named")
 
+    def arrived_under_limit(self, searcher, writer):
+        """On connections on which the searcher has stated a limit; a host that has started again has new ones."""
+        now = time.monotonic()
+        told = searcher.limit_told.get(writer)
+        if searcher.limit is None or not told or now - told < self.LIMIT_TOLD_S:
+            return
+        if now - searcher.limited_since < self.LIMIT_ADAPT_S:
+            return
+        searcher.limited_arrivals = [it for it in searcher.limited_arrivals if now - it < self.LIMIT_WINDOW] + [now]
+        allowed = self.LIMIT_FACTOR * searcher.limit * self.LIMIT_WINDOW + self.LIMIT_SLACK
+        if len(searcher.limited_arrivals) > allowed:
+            self.fail("limit", f"{searcher.name} got {len(searcher.limited_arrivals)} in 4 s, {allowed:.0f} allowed")
+
     def ran(self, searcher, request_id):
         self.runs[searcher.service, request_id] += 1
         asked = self.asked.get(request_id)
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -128,6 +128,11 @@
         self.wants_nothing_s = 0.0  # refuses, and names this time
         self.told = {}  # writer -> when it got the first answer that says so
         self.refused_until = {}  # writer -> (begin, end) of the time that was named to it, and arrivals in it
+        self.limit = None  # states in its answers that it takes so many requests a second
+        self.limited_since = 0.0  # time of the first answer that stated it
+        self.limit_told = {}  # writer -> time of the first answer that stated it there
+        self.limited_arrivals = []  # of the last window, on connections that were told
+        self.endless = 0.0  # share of the answers that never end
         self.spec = None  # what it has registered; None: it has left
         self.server, self.port = None, 0
         self.free = asyncio.Semaphore(self.SLOTS)
@@ -144,10 +149,18 @@
         self.world.store.put("servers", self.name, self.spec)
 
     def announcements(self, writer):
-        if not self.leaving:
-            return {}
-        self.told.setdefault(writer, time.monotonic())
-        return {"Server-Leaving": "1"}
+        now, out = time.monotonic(), {}
+        if self.leaving:
+            self.told.setdefault(writer, now)
+            out["Server-Leaving"] = "1"
+        if self.limit is not None:
+            self.limited_since = self.limited_since or now
+            self.limit_told.setdefault(writer, now)
+            out["Server-Limit"] = f"{self.limit:.2f}"
+        return out
+
+    def state_limit(self, limit):
+        self.limit, self.limited_since, self.limit_told, self.limited_arrivals = limit, 0.0, {}, []
 
     async def handle(self, method, target, headers, body, writer):
         random, own = self.world.random, self.name  # a searcher of another service may get the address later
@@ -161,6 +174,7 @@
                 return False
         self.world.checks.arrived(self, request_id, method, target, body)
         self.world.checks.arrived_despite(self, request_id, writer)
+        self.world.checks.arrived_under_limit(self, writer)
         if self.wants_nothing_s > 0:
             now = time.monotonic()
             self.refused_until[writer] = [now + 0.5, now + self.wants_nothing_s, 0]
@@ -181,6 +195,12 @@
         if random.random() < self.loses:
             writer.transport.abort()
             return False
+        if random.random() < self.endless:
+            writer.write(random.choice([b"", b"HTTP/1.1 200 OK\r\n", answer[:40], b"HTTP/1.1 200 OK\r\n\r\n"]))
+            while not writer.is_closing():
+                writer.write(random.choice([b"x" * 4096, b"X-More: yes\r\n" * 300]))
+                await writer.drain()
+            return False
         if random.random() < self.garbles:
             how = random.choice(["cut", "extra", "noise", "crossed"])
             if how == "cut":
