--- a/src/skylarkseam/gateway/gateway_announcements.cpp
+++ b/src/skylarkseam/gateway/gateway_announcements.cpp
@@ -39,15 +39,13 @@
 }
 
 void gateway::record_rate_limit(known_searcher& it, const attempt_result& result, time_point now) {
-    const bool has_answer =
-        result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::refused;
-    if (!has_answer || (!result.rate_limit && !it.rate.limit())) {
-        return;
-    }
     if (!result.rate_limit) {
-        it.rate.lift();
-        pending_reports_.push_back(
-            {it.record.id, it.record.service, "unlimited", "states no limit any more"});
+        // A refusal may come from a part of the searcher that knows nothing of its limit.
+        if (it.rate.limit() && result.outcome == attempt_outcome::answered) {
+            it.rate.lift();
+            pending_reports_.push_back(
+                {it.record.id, it.record.service, "unlimited", "states no limit any more"});
+        }
         return;
     }
     if (!it.rate.limit()) {
--- a/src/skylarkseam/gateway/rate_share.cpp
+++ b/src/skylarkseam/gateway/rate_share.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Requests that all hosts together may send at once, beyond the steady rate: what the limit allows in
-/// `burst_time`, and a few more.
+/// `burst_seconds`, and `burst_requests` more.
 constexpr double burst_seconds = 1.6;
 constexpr double burst_requests = 4.0;
 /// Lowest rate of all hosts together; only an answer shows that the limit is over.
--- a/src/skylarkseam/gateway/rate_share.hpp
+++ b/src/skylarkseam/gateway/rate_share.hpp
@@ -11,7 +11,8 @@
 namespace skylarkseam {
 
 /// Token bucket whose rate and size follow from the searcher's limit and the number of hosts. Invariant: over
-/// all hosts, the requests in any span of time are at most the limit times that span, and one burst.
+/// all hosts, the requests in any span of time are at most the limit times that span, and one burst; the
+/// burst is at least one request of each host.
 class rate_share {
 public:
     /// Sets the limit that the searcher states.
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -274,6 +274,9 @@
     }
     if (uniform() < it.behaviour.refused_share || it.queued.size() >= it.queue_limit) {
         result.outcome = attempt_outcome::refused;
+        if (!it.behaviour.refusals_state_limit) {
+            result.rate_limit.reset();
+        }
         reply(it, attempt, result);
         return;
     }
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -29,6 +29,7 @@
     std::optional<duration> back_off;
     /// If set, each answer states that the searcher accepts so many requests a second from all hosts.
     std::optional<double> rate_limit;
+    bool refusals_state_limit = true;
     duration pause{};       ///< Length of a pause, in which the searcher does no work.
     duration pause_every{}; ///< Interval between the starts of two pauses; 0 if the searcher never pauses.
     duration pause_offset{};
--- a/tests/gateway/rate_limit_test.cpp
+++ b/tests/gateway/rate_limit_test.cpp
@@ -105,6 +105,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(gets_far_more_when_its_refusals_do_not_state_the_limit) {
+    limited_desk it;
+    it.world.load("/audit/x", 400.0, seconds(14));
+    it.world.run_for(seconds(1));
+    it.limit_first(3, 8.0);
+    for (std::size_t n = 0; n < 3; ++n) {
+        auto& behaviour = it.world.at("desk", n).behaviour;
+        behaviour.refusals_state_limit = false;
+        behaviour.refused_share = 0.7;
+    }
+    const auto from = it.world.now + time_to_adapt;
+    it.world.run_for(seconds(14));
+    for (std::size_t n = 0; n < 3; ++n) {
+        BOOST_TEST(most_arrivals(it.world.at("desk", n), from) <= allowed(8.0));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(gets_far_more_after_a_quiet_time) {
     limited_desk it;
     it.limit_first(3);
