Book a late read of the cell's record at its own time

An answer that came after a newer call was booked at the newest call's send time: a read that was sent before an update, whose answer came after it, counted as the read that tells the update's outcome, so needs_read_back() was false too early. The answer to an update that had been dropped was taken for a read.

Each read keeps its own send time until its answer; an answer to neither a read nor a known update says nothing of the record.

--- a/src/skylarkseam/control/record_writer.cpp
+++ b/src/skylarkseam/control/record_writer.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t max_attempts = 8;
+constexpr std::size_t max_sent_reads = 8;
 constexpr int max_backoff_doublings = 4;
 
 } // namespace
@@ -33,6 +34,10 @@
 void record_writer::read(time_point now, std::vector<cell_output>& out) {
     begin_call(now);
     ++reads_;
+    sent_reads_.push_back({last_call_, now});
+    if (sent_reads_.size() > max_sent_reads) {
+        sent_reads_.pop_front();
+    }
     out.emplace_back(cell_action::read_record{last_call_});
 }
 
@@ -79,14 +84,21 @@
     const auto attempt =
         std::ranges::find_if(attempts_, [&](const auto& it) { return it.call == answer.call; });
     const bool is_write = attempt != attempts_.end();
+    const auto read =
+        std::ranges::find_if(sent_reads_, [&](const auto& it) { return it.call == answer.call; });
+    const auto read_sent = read == sent_reads_.end() ? std::nullopt : std::optional(read->sent);
+    if (read_sent) {
+        sent_reads_.erase(read);
+    }
     switch (answer.status) {
     case platform_status::ok:
         failures_ = 0;
-        found.version = answer.version;
         if (is_write) {
+            found.version = answer.version;
             found.record = attempt->record;
-        } else {
-            last_read_ = last_call_sent_at_;
+        } else if (read_sent) {
+            found.version = answer.version;
+            last_read_ = std::max(last_read_.value_or(*read_sent), *read_sent);
             found.record = answer.record;
         }
         if (found.record) {
@@ -95,7 +107,7 @@
         break;
     case platform_status::not_found:
         failures_ = 0;
-        found.missing = !is_write;
+        found.missing = read_sent.has_value();
         break;
     case platform_status::conflict:
         // An earlier update of this node may have caused the conflict; a read shows this by the record's
--- a/src/skylarkseam/control/record_writer.hpp
+++ b/src/skylarkseam/control/record_writer.hpp
@@ -63,6 +63,11 @@
     [[nodiscard]] time_point last_call() const { return last_call_sent_at_; }
 
 private:
+    struct sent_read {
+        platform_call_id call = 0;
+        time_point sent{};
+    };
+
     void begin_call(time_point now);
     void record_failure(time_point now);
     [[nodiscard]] std::optional<write_attempt> extract_attempt(const std::string& token);
@@ -74,6 +79,7 @@
     time_point retry_at_{};
     int failures_ = 0;
     std::deque<write_attempt> attempts_; ///< Updates whose outcome is unknown.
+    std::deque<sent_read> sent_reads_;   ///< Reads without an answer; a late one may still come.
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
     std::optional<time_point> last_read_; ///< Send time of the last successful read.
