--- a/src/skylarkseam/cli/effects_command.cpp
+++ b/src/skylarkseam/cli/effects_command.cpp
@@ -86,10 +86,15 @@
     const auto address = claim_address_of(line.value("caller"), line.value("service"), line.value("key"));
     const auto found = platform.get(address.kind, address.name);
     const auto claim = found.objects.empty() ? std::nullopt : decode_claim(found.objects.front().value_json);
-    if (found.status != platform_status::ok || !claim) {
+    if (found.status != platform_status::ok) {
         std::cerr << describe(found) << '\n';
         return exit_code::failure;
     }
+    if (!claim) {
+        std::cerr << "claim \"" << address.kind << '/' << address.name
+                  << "\" cannot be read: it has another format\n";
+        return exit_code::failure;
+    }
     if (claim->state != claim_state::unknown) {
         std::cerr << "nothing to resolve: the claim's state is " << name_of(claim->state) << '\n';
         return exit_code::failure;
--- a/src/skylarkseam/control/cell.hpp
+++ b/src/skylarkseam/control/cell.hpp
@@ -6,15 +6,13 @@
 #include <skylarkseam/control/cell_message.hpp>
 #include <skylarkseam/control/cell_timing.hpp>
 #include <skylarkseam/control/epoch_change.hpp>
-#include <skylarkseam/core/platform_object.hpp>
+#include <skylarkseam/control/platform_call.hpp>
 
 #include <memory>
 #include <set>
 
 namespace skylarkseam {
 
-using platform_call_id = std::uint64_t;
-
 /// Object kind of cell records in the platform.
 constexpr std::string_view cell_kind = "cells";
 
--- a/src/skylarkseam/control/claim_record.cpp
+++ b/src/skylarkseam/control/claim_record.cpp
@@ -1,3 +1,4 @@
+#include <skylarkseam/control/bucket_name.hpp>
 #include <skylarkseam/control/claim_record.hpp>
 #include <skylarkseam/control/digest.hpp>
 #include <skylarkseam/core/name_table.hpp>
@@ -26,8 +27,7 @@
 }
 
 std::string claim_kind(unsigned bucket) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    return std::string("claims.") + digits[(bucket >> 4U) & 0xFU] + digits[bucket & 0xFU];
+    return bucket_name("claims.", bucket);
 }
 
 claim_address claim_address_of(std::string_view caller, std::string_view service, std::string_view key) {
--- a/src/skylarkseam/control/job_record.cpp
+++ b/src/skylarkseam/control/job_record.cpp
@@ -1,3 +1,4 @@
+#include <skylarkseam/control/bucket_name.hpp>
 #include <skylarkseam/control/digest.hpp>
 #include <skylarkseam/control/job_record.hpp>
 #include <skylarkseam/core/name_table.hpp>
@@ -19,11 +20,6 @@
     named_value<job_state>{job_state::cancelled, "cancelled"},
 }};
 
-std::string bucket_name(std::string_view prefix, unsigned bucket) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    return std::string(prefix) + digits[(bucket >> 4U) & 0xFU] + digits[bucket & 0xFU];
-}
-
 unsigned hex_digit(char digit) {
     return static_cast<unsigned>(digit <= '9' ? digit - '0' : digit - 'a' + 10) & 0xFU;
 }
--- a/tests/end_to_end/configuration_test.cpp
+++ b/tests/end_to_end/configuration_test.cpp
@@ -271,7 +271,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(every_command_has_help_and_version) {
-    for (const auto* it : {"node", "gateway", "check", "apply", "get", "diff", "status", "dump"}) {
+    for (const auto* it : {"node", "gateway", "check", "apply", "get", "diff", "status", "dump", "jobs",
+                           "effects", "ledger"}) {
         const auto help = run_program({it, "--help"});
         BOOST_TEST(help.first == 0);
         BOOST_TEST(help.second.find("--help") != std::string::npos);
