State the reader's limit in bytes, as the linter asks

The limit of unparsed bytes was a product that is widened implicitly; it is the same 64 KB. A parameter of the endless server is passed by reference. an_answer_that_never_ends passes; no decision changes.

--- a/src/skylarkseam/shell/response_reader.cpp
+++ b/src/skylarkseam/shell/response_reader.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::uint32_t header_limit = 32U << 10U;
 /// Bytes that the parser may leave for later: a head, the line before a chunk or the trailer of a body.
-constexpr std::size_t unparsed_limit = 2 * header_limit;
+constexpr std::size_t unparsed_limit = 64U << 10U;
 constexpr int max_interim_responses = 16;
 constexpr int status_continue = 100;
 constexpr int status_ok = 200;
--- a/tests/shell/endless_answer_test.cpp
+++ b/tests/shell/endless_answer_test.cpp
@@ -23,7 +23,7 @@
 /// A server that sends `begin` and then `repeat` again and again until its peer closes the connection.
 class endless_server {
 public:
-    endless_server(event_loop& loop, std::string begin, std::string repeat)
+    endless_server(event_loop& loop, std::string begin, const std::string& repeat)
         : loop_(loop)
         , begin_(std::move(begin))
         , fd_(open_listener("127.0.0.1:0"))
