Let one gateway of a zone follow another region, not each substitute

Cause: a gateway that backs off every earlier one of its zone because their data is stale took itself for the zone's first and followed the next region, with a full copy; on a zone of 24 hosts of which the store refuses eight, all but a few did. Change: it does so only if the earlier ones fail to answer; otherwise it relies on the store, which it asks itself by then.

--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -45,7 +45,7 @@
     }
     auto& it = members_[who.name];
     if (!(it.who == who)) {
-        it = {who, last_heard, {}, {}};
+        it = {who, last_heard, {}, false, {}};
     }
     it.last_heard = std::max(it.last_heard, last_heard);
 }
@@ -94,6 +94,9 @@
     if (!watches_store_for_zone(now)) {
         return first_of_zone(self_.zone, now);
     }
+    if (has_predecessor() && !predecessors_failed(now)) {
+        return nullptr; // It reaches the store itself, and only one gateway of a zone follows another region.
+    }
     std::set<std::string> zones{self_.zone};
     for (const auto& [name, it] : members_) {
         if (now >= it.backoff_until) {
@@ -152,7 +155,8 @@
     }
     for (auto& [name, it] : members_) {
         if (it.who.address == call.address) {
-            it.backoff_until = now + (view ? timing_.stale_backoff : timing_.backoff);
+            it.stale = view.has_value();
+            it.backoff_until = now + (it.stale ? timing_.stale_backoff : timing_.backoff);
         }
     }
 }
@@ -210,6 +214,13 @@
     return view;
 }
 
+bool peer_group::predecessors_failed(time_point now) const {
+    return std::all_of(members_.begin(), members_.end(), [&](const auto& it) {
+        const bool predecessor = it.second.who.zone == self_.zone && it.first < self_.name;
+        return !predecessor || (now < it.second.backoff_until && !it.second.stale);
+    });
+}
+
 bool peer_group::has_predecessor() const {
     return std::any_of(members_.begin(), members_.end(), [this](const auto& it) {
         return it.second.who.zone == self_.zone && it.first < self_.name;
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -124,9 +124,12 @@
         gateway_identity who;
         time_point last_heard{};
         time_point backoff_until{};
+        bool stale = false;           ///< Whether it is not followed because it answered without current data
         time_point members_sent_at{}; ///< Time at which this gateway last sent it the list of members
     };
 
+    /// Whether every earlier gateway of the zone has failed to answer.
+    [[nodiscard]] bool predecessors_failed(time_point now) const;
     [[nodiscard]] std::uint32_t own_zone_hosts() const;
     void record_member(const gateway_identity& who, time_point last_heard);
     void merge(const group_view& view, time_point now);
--- a/tests/gateway/spread_test.cpp
+++ b/tests/gateway/spread_test.cpp
@@ -138,4 +138,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(makes_one_gateway_of_a_zone_follow_another_region_and_not_all) {
+    for (const auto access : {store_access::refused, store_access::silent}) {
+        spread_world world(3, 24, seconds(4));
+        world.run_for(settle_time);
+        world.for_each([](spread_host& it) { it.polls_to_other_zones = 0; });
+        set_access(world, 8, access);
+        world.run_for(seconds(9));
+        std::size_t following = 0;
+        world.for_each([&](spread_host& it) { following += it.polls_to_other_zones > 0 ? 1 : 0; });
+        BOOST_TEST(following == 3U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/spread_world.cpp
+++ b/tests/gateway/spread_world.cpp
@@ -224,6 +224,7 @@
         });
         return;
     }
+    it.polls_to_other_zones += it.who.zone != other->who.zone ? 1 : 0;
     const auto wait = timing_.follow_wait;
     const auto position = it.positions[call.address];
     at(now_ + delay, [this, &it, other, call, view, position, wait, timeout] {
--- a/tests/gateway/spread_world.hpp
+++ b/tests/gateway/spread_world.hpp
@@ -30,6 +30,7 @@
     store_access access = store_access::served;
     bool frozen = false;
     std::uint64_t store_calls = 0;
+    std::uint64_t polls_to_other_zones = 0;
     /// Time at which each version of the configuration came into force.
     std::map<std::uint64_t, time_point> versions;
     std::optional<time_point> evacuated_at;
