Log which searcher a request was lost at, and what makes a request come again

The logs cannot tell whether one request came again and again (no memory of a request beyond its run), whether the gateway's own second attempts multiplied it, or whether the searchers ended for another reason: no line names the content of a request, or the searcher at which it was lost.

Change: a fingerprint (hash of method, host, target, credentials and body) in the answer's line, and a line request_lost with the searcher, the age of the attempt and the number of requests open there. The hash function moves from control to core, as the gateway uses it too.

Tests: test_shell and test_gateway pass; the new case fails if any of the five parts is left out of the hash.

--- a/src/skylarkseam/cli/command_support.cpp
+++ b/src/skylarkseam/cli/command_support.cpp
@@ -1,7 +1,7 @@
 #include <skylarkseam/cli/command_support.hpp>
 #include <skylarkseam/cli/files.hpp>
 #include <skylarkseam/control/configuration_diff.hpp>
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 #include <skylarkseam/wire/configuration_json.hpp>
 #include <skylarkseam/wire/configuration_yaml.hpp>
 #include <skylarkseam/wire/document_reader.hpp>
--- a/src/skylarkseam/control/body_parts.cpp
+++ b/src/skylarkseam/control/body_parts.cpp
@@ -1,5 +1,5 @@
 #include <skylarkseam/control/body_parts.hpp>
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 
 #include <algorithm>
 
--- a/src/skylarkseam/control/configuration_head.cpp
+++ b/src/skylarkseam/control/configuration_head.cpp
@@ -1,5 +1,5 @@
 #include <skylarkseam/control/configuration_head.hpp>
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 
 namespace skylarkseam {
 namespace {
--- a/src/skylarkseam/control/configuration_in_force.cpp
+++ b/src/skylarkseam/control/configuration_in_force.cpp
@@ -1,6 +1,6 @@
 #include <skylarkseam/control/body_parts.hpp>
 #include <skylarkseam/control/configuration_in_force.hpp>
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 
 namespace skylarkseam {
 
--- a/src/skylarkseam/control/content_hash.cpp
+++ b/src/skylarkseam/core/content_hash.cpp
@@ -1,4 +1,4 @@
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -21,6 +21,9 @@
     std::string host;
     std::string path;                  ///< Path without the query string.
     std::optional<duration> time_left; ///< Time that the client will still wait.
+    /// Hash of what the client sent except its request ID and the time it waits. A request that a client
+    /// repeats has the same fingerprint.
+    std::string fingerprint{};
 };
 
 enum class attempt_outcome {
@@ -106,6 +109,7 @@
 /// Summary of a finished request for its log line.
 struct request_summary {
     std::string id;
+    std::string fingerprint{};
     std::string route;
     std::uint64_t config_version = 0;
     duration elapsed{};
@@ -167,6 +171,16 @@
     std::string reason;   ///< Reason why the previous attempt is not sufficient.
     duration since{};     ///< Time since the previous attempt was sent.
 };
+/// Reports that an attempt was sent and no usable response came.
+struct report_loss {
+    std::string request;
+    std::string fingerprint{};
+    std::string searcher;
+    std::string service;
+    std::string reason;
+    duration since{};          ///< Time since the attempt was sent.
+    std::size_t also_open = 0; ///< Number of this host's other requests that are open at the searcher.
+};
 /// Reports that the gateway's view of a searcher's health has changed.
 struct report_searcher {
     std::string searcher;
@@ -176,7 +190,8 @@
 };
 } // namespace gateway_action
 
-using gateway_output = std::variant<gateway_action::send, gateway_action::cancel, gateway_action::answer,
-                                    gateway_action::report_retry, gateway_action::report_searcher>;
+using gateway_output =
+    std::variant<gateway_action::send, gateway_action::cancel, gateway_action::answer,
+                 gateway_action::report_retry, gateway_action::report_loss, gateway_action::report_searcher>;
 
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -163,6 +163,7 @@
     answer.value = gateway_answer::refused{reason, no_route ? status_not_found : status_unavailable,
                                            no_route ? duration::zero() : jittered(retry_after_base(reason))};
     answer.summary.id = request.id;
+    answer.summary.fingerprint = request.fingerprint;
     answer.summary.config_version = table_->version;
     answer.summary.detail = std::string(name_of(reason));
     ++counters_.refused;
@@ -193,6 +194,7 @@
     auto run = std::make_shared<request_run>();
     run->token = request.token;
     run->id = request.id;
+    run->fingerprint = request.fingerprint;
     run->table = table_;
     run->route = &route;
     run->arrived = now;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -153,6 +153,12 @@
     const auto run = runs_.find(ended.token);
     if (ended.token != 0 && run != runs_.end()) {
         const auto active_run = run->second;
+        if (result.outcome == attempt_outcome::broken) {
+            const auto& it = *ended.target;
+            out.emplace_back(gateway_action::report_loss{active_run->id, active_run->fingerprint,
+                                                         it.record.id, it.record.service, result.detail,
+                                                         now - ended.sent, it.open.size()});
+        }
         std::erase_if(active_run->parts[ended.part].open, [id](const auto& it) { return it.id == id; });
         apply_result(active_run, ended.part, result, now, out);
         finish_if_ready(active_run, now, out);
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -98,6 +98,7 @@
 request_summary request_run::summary(time_point now) const {
     request_summary out;
     out.id = id;
+    out.fingerprint = fingerprint;
     out.route = route->name;
     out.config_version = table->version;
     out.elapsed = now - arrived;
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -50,6 +50,7 @@
 struct request_run {
     request_token token = 0;
     std::string id;
+    std::string fingerprint;
     std::shared_ptr<const routing_table> table;
     const gateway_route* route = nullptr;
     time_point arrived{};
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -66,6 +66,17 @@
                        {"reason", it.reason},
                        {"after_ms", static_cast<std::uint64_t>(to_ms(it.since))}});
         }
+        void operator()(gateway_action::report_loss& it) const {
+            log_event(log_level::info, "request_lost",
+                      {{"request", it.request},
+                       {"fingerprint", it.fingerprint},
+                       {"searcher", it.searcher},
+                       {"service", it.service},
+                       {"reason", it.reason},
+                       {"after_ms", static_cast<std::uint64_t>(to_ms(it.since))},
+                       {"also_open", it.also_open}});
+            self.measured_.count("requests_lost", "service=\"" + it.service + "\"");
+        }
         void operator()(gateway_action::report_searcher& it) const {
             log_event(log_level::info, "searcher",
                       {{"searcher", it.searcher},
@@ -121,6 +132,7 @@
     const auto& it = action.summary;
     log_event(log_level::info, "answer",
               {{"request", it.id},
+               {"fingerprint", it.fingerprint},
                {"route", it.route},
                {"status", static_cast<std::uint64_t>(status)},
                {"version", it.config_version},
--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -1,3 +1,4 @@
+#include <skylarkseam/core/content_hash.hpp>
 #include <skylarkseam/shell/logging.hpp>
 #include <skylarkseam/shell/request_forwarding.hpp>
 
@@ -110,6 +111,17 @@
     return buf.data();
 }
 
+/// Hash of what a client repeats when it sends a request again: the request without its ID and its time. The
+/// credentials belong to it, because they name the client account.
+std::string fingerprint_of(const incoming_request& request) {
+    std::string text;
+    for (const auto& it : {request.method, request.header("host"), request.target,
+                           request.header("authorization"), request.body}) {
+        text.append(std::to_string(it.size())).append(":").append(it);
+    }
+    return content_hash(text);
+}
+
 struct response_of {
     const http_dialect& names;
 
@@ -157,6 +169,7 @@
     out.host = request.header("host");
     out.path = request.path;
     out.time_left = parse_ms(request.header(names.time_left));
+    out.fingerprint = fingerprint_of(request);
     return out;
 }
 
--- a/src/skylarkseam/wire/configuration_json.cpp
+++ b/src/skylarkseam/wire/configuration_json.cpp
@@ -1,4 +1,4 @@
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 #include <skylarkseam/wire/configuration_decoder.hpp>
 #include <skylarkseam/wire/configuration_json.hpp>
 #include <skylarkseam/wire/json_document.hpp>
--- a/tests/control/configuration_world.cpp
+++ b/tests/control/configuration_world.cpp
@@ -1,6 +1,6 @@
 #include "configuration_world.hpp"
 
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 
 #include <algorithm>
 #include <sstream>
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -229,6 +229,7 @@
             self.results.push_back(result);
         }
         void operator()(const gateway_action::report_retry&) const {}
+        void operator()(const gateway_action::report_loss&) const {}
         void operator()(const gateway_action::report_searcher&) const {}
     };
     for (const auto& it : actions) {
--- a/tests/shell/request_forwarding_test.cpp
+++ b/tests/shell/request_forwarding_test.cpp
@@ -66,3 +66,38 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_fingerprint_of_a_request)
+
+BOOST_AUTO_TEST_CASE(names_what_a_client_sends_again) {
+    incoming_request first;
+    first.method = "POST";
+    first.target = "/audit/3f?page=1";
+    first.body = "label";
+    first.headers = {{"host", "audit.example"}, {"x-id", "1"}, {"x-left", "8000"}};
+    http_dialect dialect;
+    dialect.request_id = "x-id";
+    dialect.time_left = "x-left";
+    const auto print = [&](const incoming_request& it) {
+        return to_gateway_request(it, dialect).fingerprint;
+    };
+
+    auto repeated = first;
+    repeated.headers = {{"host", "audit.example"}, {"x-id", "2"}, {"x-left", "4100"}};
+    BOOST_TEST(print(repeated) == print(first));
+
+    for (const auto change : {0, 1, 2, 3, 4}) {
+        auto other = first;
+        other.method = change == 0 ? "PUT" : other.method;
+        other.target = change == 1 ? "/audit/3f?page=2" : other.target;
+        other.body = change == 2 ? "labe" : other.body;
+        if (change == 3) {
+            other.headers.push_back({"authorization", "Bearer another-account"});
+        } else if (change == 4) {
+            other.headers.front().value = "other.example";
+        }
+        BOOST_TEST(print(other) != print(first), "change " << change);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/configuration_json_test.cpp
+++ b/tests/wire/configuration_json_test.cpp
@@ -2,7 +2,7 @@
 // validates it again.
 #include "sample_configuration.hpp"
 
-#include <skylarkseam/control/content_hash.hpp>
+#include <skylarkseam/core/content_hash.hpp>
 #include <skylarkseam/wire/configuration_json.hpp>
 #include <skylarkseam/wire/configuration_yaml.hpp>
 
