Add failing tests of a request that crashes each searcher that runs it

The tests run eight hosts of the decisions in virtual time; searchers crash under the request, their connections are reset, and they start again after 3 s.

--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -83,7 +83,6 @@
                       {},
                       1};
         by_address_[it->record.address] = it.get();
-        by_id_[it->record.id] = it.get();
         searchers[name].push_back(std::move(it));
     }
 }
@@ -137,7 +136,8 @@
     request.host = "search.example";
     request.path = path;
     request.time_left = patience;
-    requests_[token] = {request.id, now};
+    request.fingerprint = path;
+    requests_[token] = {request.id, path, now};
     handle(host, gateway_event::request_arrived{request});
     return token;
 }
@@ -244,11 +244,15 @@
 
 void gateway_world::send(std::uint32_t host, const gateway_action::send& action) {
     auto& target = *by_address_.at(action.address);
-    auto attempt = std::make_shared<in_flight_attempt>(in_flight_attempt{host, action.id, &target, false});
+    const auto& [id, path, when] = requests_.at(action.token);
+    auto attempt = std::make_shared<in_flight_attempt>(
+        in_flight_attempt{host, action.id, &target, false, false, false, path, action.searcher});
     in_flight_[(attempt_id{host} << 48U) | action.id] = attempt;
     target.most_open = std::max(target.most_open, ++target.open);
-    const auto id = requests_.at(action.token).id;
-    after(link(host, target), [this, &target, attempt, id] { arrive(target, attempt, id); });
+    if (deadly_paths.contains(path)) {
+        deadly_sent.push_back({path, host, action.searcher, now});
+    }
+    after(link(host, target), [this, &target, attempt, request = id] { arrive(target, attempt, request); });
 }
 
 void gateway_world::arrive(model_searcher& it, const std::shared_ptr<in_flight_attempt>& attempt,
@@ -257,9 +261,16 @@
         return;
     }
     attempt_result result;
+    if (it.ended) {
+        result.outcome = attempt_outcome::not_sent;
+        result.detail = "cannot connect: Connection refused";
+        reply(it, attempt, result);
+        return;
+    }
+    attempt->arrived = true;
     result.searcher_leaving = it.behaviour.leaving;
     result.rate_limit = it.behaviour.rate_limit;
-    if (it.behaviour.replaced) {
+    if (it.behaviour.replaced || attempt->searcher != it.record.id) {
         result.outcome = attempt_outcome::replaced;
         reply(it, attempt, result);
         return;
@@ -306,7 +317,19 @@
     const double factor = (0.6 + 0.8 * uniform()) * it.behaviour.slowdown;
     const auto processing_time =
         duration(static_cast<std::int64_t>(static_cast<double>(work.count()) * factor));
-    after(processing_time + pause_left(it), [this, &it, attempt, id] {
+    const bool deadly = deadly_paths.contains(attempt->path);
+    if (deadly) {
+        after(processing_time / 3, [this, &it, attempt, start = it.start] {
+            if (!it.ended && it.start == start) {
+                crashes.push_back({attempt->path, attempt->host, it.record.id, now});
+                crash(it);
+            }
+        });
+    }
+    after(processing_time + pause_left(it), [this, &it, attempt, id, start = it.start] {
+        if (it.ended || it.start != start) {
+            return;
+        }
         --it.running;
         attempt_result result;
         result.outcome = attempt_outcome::answered;
@@ -337,6 +360,9 @@
 
 void gateway_world::reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                           attempt_result result) {
+    if (std::exchange(attempt->replied, true)) {
+        return;
+    }
     after(link(attempt->host, from), [this, attempt, result = std::move(result)] {
         if (attempt->cancelled) {
             return;
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -50,6 +50,16 @@
     };
     std::vector<arrival> arrival_log;
     std::vector<std::function<void()>> queued;
+    bool ended = false;      ///< True while no process listens at the searcher's address.
+    std::uint32_t start = 1; ///< Counts the starts of the process.
+};
+
+/// A request that was sent to a searcher, or the end of a searcher under one.
+struct crash_record {
+    std::string path;
+    std::uint32_t host = 0;
+    std::string searcher;
+    time_point when{};
 };
 
 /// Result of one request, as seen by its client.
@@ -91,6 +101,9 @@
     request_token send_request(const std::string& path, std::uint32_t host = 0,
                                std::optional<duration> patience = std::nullopt);
     void disconnect(request_token token, std::uint32_t host = 0);
+    /// Ends a searcher's process: its connections are reset and new ones are refused. Its entry lapses, and
+    /// after `down_time` another process starts at the address.
+    void crash(model_searcher& it);
     /// Generates requests at a steady rate to all hosts for `time`.
     void load(const std::string& path, double per_second, duration time);
     /// Generates requests at a steady rate to the hosts of one zone for `time`.
@@ -108,6 +121,11 @@
     /// Number of arrivals at a service beyond the first one of each request.
     std::uint64_t extra_arrivals = 0;
 
+    std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
+    duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
+    std::vector<crash_record> deadly_sent;
+    std::vector<crash_record> crashes; ///< Ends of searchers under requests with a deadly path.
+
 private:
     struct event {
         time_point when;
@@ -122,6 +140,10 @@
         attempt_id id = 0;
         model_searcher* target = nullptr;
         bool cancelled = false;
+        bool arrived = false;
+        bool replied = false;
+        std::string path;
+        std::string searcher; ///< ID of the searcher that the request is meant for.
     };
 
     void handle(std::uint32_t host, gateway_input input);
@@ -129,6 +151,8 @@
     void send(std::uint32_t host, const gateway_action::send& action);
     void arrive(model_searcher& it, const std::shared_ptr<in_flight_attempt>& attempt, const std::string& id);
     void run(model_searcher& it, const std::shared_ptr<in_flight_attempt>& attempt, const std::string& id);
+    void start_again(model_searcher& it);
+    void for_each_host(const std::function<void(directory& known)>& change);
     void reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                attempt_result result);
     void wake(std::uint32_t host);
@@ -145,9 +169,9 @@
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
     std::map<std::string, model_searcher*> by_address_;
-    std::map<std::string, model_searcher*> by_id_;
     struct request_record {
         std::string id;
+        std::string path;
         time_point when{};
     };
     std::map<request_token, request_record> requests_;
--- /dev/null
+++ b/tests/gateway/searcher_crashes.cpp
@@ -0,0 +1,45 @@
+// Searchers of the simulated world that end and start again.
+#include "gateway_world.hpp"
+
+namespace skylarkseam::testing {
+
+void gateway_world::for_each_host(const std::function<void(directory& searchers)>& change) {
+    for (std::uint32_t n = 0; n < hosts.size(); ++n) {
+        std::vector<gateway_output> out;
+        change(hosts[n]->searchers());
+        hosts[n]->on_searchers_changed(now, out);
+        perform(n, out);
+    }
+}
+
+void gateway_world::crash(model_searcher& it) {
+    constexpr duration lapse_time = milliseconds(2400);
+    it.ended = true;
+    it.running = 0;
+    it.queued.clear();
+    std::vector<std::shared_ptr<in_flight_attempt>> lost;
+    for (const auto& [key, attempt] : in_flight_) {
+        if (attempt->target == &it && attempt->arrived && !attempt->cancelled) {
+            lost.push_back(attempt);
+        }
+    }
+    for (const auto& attempt : lost) {
+        attempt_result result;
+        result.detail = "connection lost: Connection reset by peer";
+        reply(it, attempt, result);
+    }
+    after(lapse_time, [this, id = it.record.id] {
+        for_each_host([&](directory& known) { known.remove(id, false, now); });
+    });
+    after(down_time, [this, &it] { start_again(it); });
+}
+
+void gateway_world::start_again(model_searcher& it) {
+    it.ended = false;
+    ++it.start;
+    it.record.id = it.record.id.substr(0, it.record.id.find('+')) + "+" + std::to_string(it.start);
+    ++it.record.started_at;
+    for_each_host([&](directory& known) { known.put(it.record, now); });
+}
+
+} // namespace skylarkseam::testing
