Refuse a request under which three searchers have ended

A gateway forgot a request with its answer, so that a request which crashes the searcher that runs it met one searcher after another, and a query over shards crashed one of each shard and then, by its second attempts, one of each shard of another zone.

Change: a lost connection is held against the request once the searcher turns out to have ended (nothing listens at its address any more, its entry is removed, or another process has its place), unless it was leaving or the request had already lost another attempt when this one was sent. Any answer clears the request. After the first loss it is sent to one searcher at a time, not beside another such request, without hedges and probes; after three ends it is answered 503 with the time for which it is refused, without being sent. The memory holds 512 requests for 20 minutes; after 10 one attempt at a time is let through again.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -60,12 +60,14 @@
                             known.record.service == record.service && known.record.zone == record.zone;
     if (!same_start) {
         on_change_(known, "forgotten", "it started again");
+        known.ended = true;
         drop(record.id);
         add(record, left_at, now);
         return;
     }
     if (!known.registered) {
         on_change_(known, "registered", "its entry is back");
+        known.ended = false;
     }
     known.registered = true;
     if (record.draining != known.record.draining) {
@@ -90,6 +92,7 @@
     }
     auto& it = *found->second;
     it.registered = false;
+    it.ended = it.ended || !store_was_away;
     // During a store outage the entry of a running searcher can expire, so the searcher stays in use.
     if (!store_was_away && !it.leaving) {
         it.leaving = now - knowledge_age;
@@ -156,6 +159,7 @@
 void directory::mark_replaced(known_searcher& it) {
     if (it.fault != searcher_fault::replaced) {
         it.fault = searcher_fault::replaced;
+        it.ended = true;
         on_change_(it, "replaced", "another searcher has its address");
     }
 }
--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -61,6 +61,17 @@
     /// Time to open the connection; set only if the attempt opened a new one.
     std::optional<duration> connect_time{};
     std::string detail; ///< Description of the fault if there is no response.
+    /// True if the searcher closed or reset the connection before it had answered the whole request.
+    bool connection_lost = false;
+    /// True if nothing listens at the searcher's address; set only if no byte was sent.
+    bool connection_refused = false;
+};
+
+/// Result of a check whether a searcher accepts connections.
+enum class check_result {
+    accepted,
+    refused, ///< Nothing listens at the address.
+    no_answer,
 };
 
 namespace gateway_event {
@@ -83,12 +94,18 @@
     attempt_id id = 0;
     attempt_result result;
 };
+/// The result of a `check_searcher` action.
+struct searcher_checked {
+    attempt_id id = 0;
+    check_result result = check_result::no_answer;
+};
 struct time_passed {};
 } // namespace gateway_event
 
-using gateway_input = std::variant<gateway_event::request_arrived, gateway_event::client_disconnected,
-                                   gateway_event::attempt_connecting, gateway_event::attempt_sent,
-                                   gateway_event::attempt_ended, gateway_event::time_passed>;
+using gateway_input =
+    std::variant<gateway_event::request_arrived, gateway_event::client_disconnected,
+                 gateway_event::attempt_connecting, gateway_event::attempt_sent, gateway_event::attempt_ended,
+                 gateway_event::searcher_checked, gateway_event::time_passed>;
 
 /// Reason why a request got neither a searcher's answer nor a merged one.
 enum class refusal_reason {
@@ -100,6 +117,7 @@
     shards_down, ///< Fewer shards can answer than the route's minimum share.
     all_refused, ///< Every searcher that got the request refused it.
     broken,      ///< The request was sent and no usable response came.
+    crashes,     ///< Searchers ended under the request, so it is sent to no other.
     deadline,    ///< The deadline passed.
     draining,
 };
@@ -154,6 +172,12 @@
     /// its connection limit resets the connection in that time, and the request has not left this host.
     duration settle_time{};
 };
+/// Opens a connection to a searcher and closes it again. No request is sent; the searcher may have ended.
+struct check_searcher {
+    attempt_id id = 0;
+    std::string address;
+    duration timeout{};
+};
 /// Aborts the attempt: its connection is closed, and no `attempt_ended` event follows.
 struct cancel {
     attempt_id id = 0;
@@ -181,6 +205,14 @@
     duration since{};          ///< Time since the attempt was sent.
     std::size_t also_open = 0; ///< Number of this host's other requests that are open at the searcher.
 };
+/// Reports that a searcher ended under a request, or that another host said so.
+struct report_suspect {
+    std::string fingerprint;
+    std::string searcher; ///< Empty if another host reported it.
+    std::size_t ends = 0; ///< Number of searchers that have ended under the request.
+    std::string outcome;
+    duration refused_for{}; ///< Time for which the request is refused; 0 if it is not.
+};
 /// Reports that the gateway's view of a searcher's health has changed.
 struct report_searcher {
     std::string searcher;
@@ -191,7 +223,8 @@
 } // namespace gateway_action
 
 using gateway_output =
-    std::variant<gateway_action::send, gateway_action::cancel, gateway_action::answer,
-                 gateway_action::report_retry, gateway_action::report_loss, gateway_action::report_searcher>;
+    std::variant<gateway_action::send, gateway_action::check_searcher, gateway_action::cancel,
+                 gateway_action::answer, gateway_action::report_retry, gateway_action::report_loss,
+                 gateway_action::report_suspect, gateway_action::report_searcher>;
 
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -87,6 +87,9 @@
 }
 
 void gateway::on_searchers_changed(time_point now, output& out) {
+    const auto suspected = suspects_.note_removed(now);
+    report_suspects(suspected, {}, now, out);
+    continue_runs_of(suspected, now, out);
     std::vector<std::string> services;
     for (const auto& [service, list] : wait_lists_) {
         services.push_back(service);
@@ -116,6 +119,9 @@
         void operator()(gateway_event::attempt_ended& it) const {
             self.on_attempt_ended(it.id, std::move(it.result), now, out);
         }
+        void operator()(gateway_event::searcher_checked& it) const {
+            self.on_searcher_checked(it.id, it.result, now, out);
+        }
         void operator()(gateway_event::time_passed&) const { self.on_timer(now, out); }
     };
     std::visit(visitor{*this, now, out}, event);
@@ -156,7 +162,7 @@
     }
 }
 
-void gateway::refuse(const gateway_request& request, refusal_reason reason, time_point, output& out) {
+void gateway::refuse(const gateway_request& request, refusal_reason reason, output& out) {
     const bool no_route = reason == refusal_reason::no_route;
     gateway_action::answer answer;
     answer.token = request.token;
@@ -174,7 +180,7 @@
     ++counters_.requests;
     if (!is_ready()) {
         if (startup_queue_.size() >= max_startup_requests) {
-            refuse(request, refusal_reason::not_ready, now, out);
+            refuse(request, refusal_reason::not_ready, out);
             return;
         }
         startup_queue_.push_back({request, now});
@@ -183,10 +189,12 @@
     }
     const auto* const route = find_route(*table_, request.host, request.path);
     if (route == nullptr) {
-        refuse(request, refusal_reason::no_route, now, out);
+        refuse(request, refusal_reason::no_route, out);
         return;
     }
-    start_run(request, *route, now, out);
+    if (!refuse_if_it_crashes(request, now, out)) {
+        start_run(request, *route, now, out);
+    }
 }
 
 void gateway::start_run(const gateway_request& request, const gateway_route& route, time_point now,
@@ -248,7 +256,7 @@
     while (!startup_queue_.empty() && now >= startup_queue_.front().arrived + startup_wait) {
         const auto request = startup_queue_.front().request;
         startup_queue_.erase(startup_queue_.begin());
-        refuse(request, refusal_reason::not_ready, now, out);
+        refuse(request, refusal_reason::not_ready, out);
     }
     while (const auto token = run_timers_.pop_due(now)) {
         const auto found = runs_.find(*token);
@@ -288,8 +296,10 @@
     if (!runs_.contains(run->token)) {
         return;
     }
+    continue_deferred_parts(run, now, out);
     const bool open = std::any_of(run->parts.begin(), run->parts.end(), [](const auto& it) {
-        return it.state == part_state::waiting || (it.state == part_state::sent && !it.probing);
+        return it.state == part_state::waiting || it.state == part_state::deferred ||
+               (it.state == part_state::sent && !it.probing);
     });
     if (!open && run->count(part_state::refused) > 0) {
         resolve_refused_parts(run, now, out);
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <skylarkseam/core/timer_heap.hpp>
+#include <skylarkseam/gateway/crash_suspects.hpp>
 #include <skylarkseam/gateway/directory.hpp>
 #include <skylarkseam/gateway/extra_budget.hpp>
 #include <skylarkseam/gateway/placement.hpp>
@@ -36,6 +37,8 @@
     std::uint64_t leaving_announced = 0; ///< Searchers that announced their shutdown in an answer.
     std::uint64_t back_offs = 0;         ///< Refusals in which a searcher asked for no requests for a time.
     std::uint64_t rate_limits = 0;       ///< Searchers that began to state a rate limit.
+    std::uint64_t searcher_checks = 0;   ///< Checks whether a searcher accepts connections.
+    std::uint64_t crash_refusals = 0;    ///< Requests refused because searchers ended under them.
 };
 
 /// Invariants: each request gets exactly one answer unless its client disconnects. A request that is answered
@@ -67,6 +70,10 @@
 
     void handle(gateway_input event, time_point now, output& out);
 
+    [[nodiscard]] const crash_suspects& suspects() const { return suspects_; }
+    /// Takes over what other hosts report of requests under which searchers ended.
+    void merge_suspects(const std::vector<suspect_report>& reports, time_point now, output& out);
+
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
     [[nodiscard]] std::size_t open_requests() const { return runs_.size(); }
     [[nodiscard]] const gateway_counters& counters() const { return counters_; }
@@ -82,13 +89,16 @@
         duration typical_latency{};
         duration overload_latency{}; ///< Latency above which the searcher counts as overloaded.
         time_point probe_deadline{}; ///< Timeout of an attempt that only serves as a probe.
+        std::string fingerprint;
     };
     using run_ptr = std::shared_ptr<request_run>;
 
     [[nodiscard]] bool is_ready() const { return listing_complete_ && table_->version > 0; }
     void on_request_arrived(const gateway_request& request, time_point now, output& out);
     void start_run(const gateway_request& request, const gateway_route& route, time_point now, output& out);
-    void refuse(const gateway_request& request, refusal_reason reason, time_point now, output& out);
+    void refuse(const gateway_request& request, refusal_reason reason, output& out);
+    /// Refuses a request under which searchers ended. Returns false if it may be sent.
+    bool refuse_if_it_crashes(const gateway_request& request, time_point now, output& out);
     void release_startup_queue(time_point now, output& out);
     void on_client_disconnected(request_token token, time_point now, output& out);
     /// Records whether a byte of the attempt may have left this host.
@@ -135,6 +145,32 @@
     void record_rate_limit(known_searcher& it, const attempt_result& result, time_point now);
     void record_result(attempt& ended, const attempt_result& result, time_point now, output& out);
 
+    /// Whether the request may crash each searcher that runs it: a searcher ended under it, or it has lost a
+    /// connection and no searcher has answered it.
+    [[nodiscard]] bool is_suspected(const request_run& run, time_point now) const;
+    /// Sends a suspected request over shards for one part; the others are deferred.
+    void place_suspected(const run_ptr& run, time_point now, output& out);
+    /// Sends deferred parts, one at a time while the request is suspected.
+    void continue_deferred_parts(const run_ptr& run, time_point now, output& out);
+    void send_deferred_part(const run_ptr& run, std::size_t part, time_point now, output& out);
+    /// Marks a part as failed if the request is not to be sent to any searcher. Returns false otherwise.
+    bool fail_if_it_crashes(request_run& run, std::size_t part, time_point now);
+    /// Index of the deferred part to send next: one that shares its searcher with no other suspected request.
+    [[nodiscard]] std::size_t next_deferred_part(const request_run& run, time_point now);
+    /// Records that an attempt lost its connection, and finds out whether the searcher ended.
+    void record_loss(const attempt& ended, bool accountable, time_point now, output& out);
+    void on_searcher_checked(attempt_id id, check_result result, time_point now, output& out);
+    /// Holds the end of a searcher against the requests that were open there.
+    void on_searcher_ended(const known_searcher& it, time_point now, output& out);
+    void report_suspects(const std::vector<std::string>& fingerprints, const std::string& searcher,
+                         time_point now, output& out);
+    /// Continues the open requests for which `affected` holds.
+    void continue_runs(const std::function<bool(const request_run& run)>& affected, time_point now,
+                       output& out);
+    void continue_runs_of(const std::vector<std::string>& fingerprints, time_point now, output& out);
+    /// Whether so many searchers are unreachable that this host's own network is the likelier fault.
+    [[nodiscard]] bool may_be_cut_off() const;
+
     /// Answers the request if it is complete or its time is up.
     void finish_if_ready(const run_ptr& run, time_point now, output& out);
     void finish(const run_ptr& run, any_answer value, time_point now, output& out);
@@ -164,6 +200,8 @@
     std::vector<startup_request> startup_queue_; ///< Requests that arrived before the gateway was ready.
     std::unordered_map<request_token, run_ptr> runs_;
     std::unordered_map<attempt_id, attempt> attempts_;
+    crash_suspects suspects_;
+    std::unordered_map<attempt_id, known_searcher_ptr> checks_; ///< Searchers that are being checked.
     attempt_id last_attempt_id_ = 0;
     timer_heap<request_token> run_timers_;
     timer_heap<attempt_id> probe_timers_;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -58,9 +58,10 @@
     const auto overload_latency = std::max(run->route->objective / overload_objective_divisor,
                                            overload_latency_factor * estimate.shortest());
     const auto round_trip = round_trips_.to(*choice.target);
-    choice.target->on_sent(id, now, typical_latency);
-    attempts_[id] = {run->token,       part, choice.target, run->route->name, now, typical_latency,
-                     overload_latency, {}};
+    const bool suspected = is_suspected(*run, now);
+    choice.target->on_sent(id, now, typical_latency, suspected);
+    attempts_[id] = {run->token,       part, choice.target,   run->route->name, now, typical_latency,
+                     overload_latency, {},   run->fingerprint};
 
     const double slowness = std::clamp(choice.target->slowness, 1.0, max_hedge_slowness);
     const double factor = budget_is_ample(it.service, now) ? early_hedge_delay_factor : hedge_delay_factor;
@@ -70,7 +71,7 @@
     it.state = part_state::sent;
     it.probing = choice.probe && it.open.empty();
     it.tried.push_back(choice.target.get());
-    it.open.push_back({id, choice.target, now, hedge_at});
+    it.open.push_back({id, choice.target, now, hedge_at, true, suspected});
     if (run->route->repeat == repeatability::idempotent) {
         run_timers_.add(hedge_at, run->token);
     }
@@ -97,7 +98,8 @@
 
 void gateway::send_hedge(const run_ptr& run, std::size_t part, time_point now, output& out) {
     auto& it = run->parts[part];
-    if (it.open.empty() || run->route->repeat != repeatability::idempotent || !may_retry(*run, it)) {
+    if (it.open.empty() || run->route->repeat != repeatability::idempotent || !may_retry(*run, it) ||
+        is_suspected(*run, now)) {
         return;
     }
     auto& latest = it.open.back();
@@ -148,11 +150,18 @@
     }
     auto ended = std::move(found->second);
     attempts_.erase(found);
+    const bool accountable = ended.target->is_accountable(id);
     ended.target->on_ended(id);
     record_result(ended, result, now, out);
+    if (result.connection_lost) {
+        record_loss(ended, accountable, now, out);
+    }
     const auto run = runs_.find(ended.token);
     if (ended.token != 0 && run != runs_.end()) {
         const auto active_run = run->second;
+        if (result.connection_lost) {
+            ++active_run->losses;
+        }
         if (result.outcome == attempt_outcome::broken) {
             const auto& it = *ended.target;
             out.emplace_back(gateway_action::report_loss{active_run->id, active_run->fingerprint,
@@ -170,6 +179,9 @@
     auto& it = *ended.target;
     const auto before = it.fault;
     record_announcements(it, result, now);
+    if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::refused) {
+        suspects_.note_alive(it, ended.sent);
+    }
     if (result.connect_time) {
         round_trips_.add(it.record.zone, *result.connect_time);
     }
@@ -194,9 +206,13 @@
         break;
     case attempt_outcome::replaced:
         searchers_.mark_replaced(it);
+        on_searcher_ended(it, now, out);
         break;
     case attempt_outcome::not_sent:
         it.on_failure(searcher_fault::unreachable, now);
+        if (result.connection_refused && !may_be_cut_off()) {
+            on_searcher_ended(it, now, out);
+        }
         break;
     case attempt_outcome::broken:
         if (result.connect_time) {
@@ -220,6 +236,8 @@
     if (result.outcome == attempt_outcome::answered && is_success(result.response)) {
         it.state = part_state::answered;
         it.response = std::move(result.response);
+        run->harmless = true;
+        suspects_.note_answered(run->fingerprint, now);
         if (const auto* const plan = run->shards()) {
             // More records of one part cannot be in the answer, and would only use memory until the other
             // parts arrive.
@@ -266,11 +284,13 @@
         return;
     case attempt_outcome::broken:
         it.may_have_run = true;
-        if (idempotent) {
-            retry_or_fail(run, part, refusal_reason::broken, now, out);
-        } else {
+        if (!idempotent) {
             it.state = part_state::failed;
             it.reason = refusal_reason::broken;
+        } else if (it.open.empty() && run->parts.size() > 1 && is_suspected(*run, now)) {
+            it.state = part_state::deferred;
+        } else {
+            retry_or_fail(run, part, refusal_reason::broken, now, out);
         }
         return;
     }
@@ -287,6 +307,9 @@
     if (!may_retry(*run, it) || now >= run->deadline) {
         return;
     }
+    if (fail_if_it_crashes(*run, part, now)) {
+        return;
+    }
     const bool was_sent = it.tried.size() > it.failed_connections;
     if (was_sent && !budgets_[it.service].try_spend(options_.extra, hosts_.total, now)) {
         it.extra_denied = true;
--- a/src/skylarkseam/gateway/gateway_placing.cpp
+++ b/src/skylarkseam/gateway/gateway_placing.cpp
@@ -52,7 +52,12 @@
 void gateway::place_part(const run_ptr& run, std::size_t part, bool extra, time_point now, output& out) {
     auto request = placement_request_for(*run, run->parts[part], now);
     request.probes = probe_rule::none;
+    request.without_suspects = is_suspected(*run, now);
     auto choice = placement_.pick(request);
+    if (request.without_suspects && choice.outcome != placement_outcome::found) {
+        request.without_suspects = false;
+        choice = placement_.pick(request);
+    }
     if (choice.probe_due && choice.outcome != placement_outcome::found) {
         request.probes = probe_rule::allowed;
         choice = placement_.pick(request);
@@ -88,7 +93,7 @@
 void gateway::send_probe(const run_ptr& run, std::size_t part, time_point now, output& out) {
     auto& it = run->parts[part];
     const bool idempotent = run->route->repeat == repeatability::idempotent;
-    if (!idempotent || it.state != part_state::sent || !may_retry(*run, it) ||
+    if (!idempotent || it.state != part_state::sent || !may_retry(*run, it) || is_suspected(*run, now) ||
         !budget_is_ample(it.service, now)) {
         return;
     }
@@ -105,6 +110,10 @@
 }
 
 void gateway::place_request(const run_ptr& run, time_point now, output& out) {
+    if (is_suspected(*run, now)) {
+        place_suspected(run, now, out);
+        return;
+    }
     const auto chosen = choose_searchers(*run, now);
     const auto& choices = chosen.of_part;
     if (const auto end = back_off_end(choices, run->required_parts())) {
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -43,8 +43,12 @@
     return fault_names.name_of(fault);
 }
 
-void known_searcher::on_sent(attempt_id id, time_point now, duration typical_latency) {
-    open.push_back({id, now, typical_latency});
+void known_searcher::on_sent(attempt_id id, time_point now, duration typical_latency, bool suspected) {
+    const bool alone = !suspected || !has_suspected_request();
+    for (auto& it : open) {
+        it.alone = it.alone && (alone || !it.suspected);
+    }
+    open.push_back({id, now, typical_latency, suspected, alone});
     if (fault != searcher_fault::none) {
         probe_at = now + probe_interval;
     }
@@ -52,6 +56,11 @@
     rate.on_sent();
 }
 
+bool known_searcher::is_accountable(attempt_id id) const {
+    const auto it = std::find_if(open.begin(), open.end(), [id](const auto& one) { return one.id == id; });
+    return it != open.end() && it->alone;
+}
+
 void known_searcher::refill_cold_allowance(double per_second, time_point now) {
     if (cold_allowance_at != time_point{}) {
         const auto passed = std::chrono::duration<double>(now - cold_allowance_at).count();
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -45,6 +45,10 @@
         attempt_id id = 0;
         time_point sent{};
         duration typical_latency{}; ///< Typical latency of such a request over all searchers.
+        bool suspected = false;     ///< True if the request may crash the searcher.
+        /// True if no other suspected request was open here at the same time, so that the searcher's end is
+        /// not held against both.
+        bool alone = true;
     };
 
     searcher_record record;
@@ -63,6 +67,10 @@
     time_point back_off_until{};
     rate_share rate;        ///< This host's share of the rate that the searcher states, if it states one.
     bool evacuated = false; ///< True if the searcher's zone must get no work.
+    /// True if the process has ended: its entry was removed, or another start or searcher took its place.
+    bool ended = false;
+    bool check_open = false; ///< True while it is being checked whether the searcher accepts connections.
+    time_point checked_at{}; ///< Time at which the last such check began.
     time_point cold_until{};
 
     std::vector<open_attempt> open;
@@ -89,7 +97,12 @@
     time_point probe_at{};          ///< Time from which a faulty searcher may get one request as a probe.
     duration probe_interval{};      ///< Probe interval of a faulty searcher; doubles with each failed probe.
 
-    void on_sent(attempt_id id, time_point now, duration typical_latency);
+    void on_sent(attempt_id id, time_point now, duration typical_latency, bool suspected = false);
+    [[nodiscard]] bool has_suspected_request() const {
+        return std::any_of(open.begin(), open.end(), [](const auto& it) { return it.suspected; });
+    }
+    /// Whether the searcher's end would be held against the attempt.
+    [[nodiscard]] bool is_accountable(attempt_id id) const;
     /// Removes an attempt. Returns false if the attempt is not open.
     bool on_ended(attempt_id id);
     /// \param sent              time at which the request was sent
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -91,7 +91,8 @@
     }
     for (const auto& it : searchers_.of_service(request.service->name)) {
         if (it->evacuated || searchers_.drained(*it, request.now) || it->fault == searcher_fault::replaced ||
-            !in_regions(request.home_regions, it->region) || contains(request.tried, it.get())) {
+            !in_regions(request.home_regions, it->region) || contains(request.tried, it.get()) ||
+            (request.without_suspects && it->has_suspected_request())) {
             continue;
         }
         const auto accepts_at =
--- a/src/skylarkseam/gateway/placement.hpp
+++ b/src/skylarkseam/gateway/placement.hpp
@@ -28,6 +28,8 @@
     duration typical_latency{};                   ///< Median latency of the route at a searcher.
     duration objective{};                         ///< Latency objective of the client's whole request.
     probe_rule probes = probe_rule::allowed;
+    /// True if searchers with a request that may crash them are left out.
+    bool without_suspects = false;
     host_counts hosts; ///< Numbers of hosts that share the searcher's connections.
     time_point now{};
 };
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -17,6 +17,7 @@
     named_value<part_state>{part_state::waiting, "waiting"},
     named_value<part_state>{part_state::sent, "no_answer_yet"},
     named_value<part_state>{part_state::refused, "refused"},
+    named_value<part_state>{part_state::deferred, "deferred"},
     named_value<part_state>{part_state::answered, "answered"},
     named_value<part_state>{part_state::failed, "failed"},
 }};
@@ -38,6 +39,7 @@
     named_value<refusal_reason>{refusal_reason::shards_down, "shards_down"},
     named_value<refusal_reason>{refusal_reason::all_refused, "all_refused"},
     named_value<refusal_reason>{refusal_reason::broken, "broken"},
+    named_value<refusal_reason>{refusal_reason::crashes, "crashes_searchers"},
     named_value<refusal_reason>{refusal_reason::deadline, "deadline"},
     named_value<refusal_reason>{refusal_reason::draining, "draining"},
 }};
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -15,9 +15,10 @@
 constexpr std::int64_t wait_objective_divisor = 5;
 
 enum class part_state {
-    waiting, ///< No searcher had a free connection slot yet.
-    sent,    ///< At least one attempt is open.
-    refused, ///< The searcher refused the part; a retry is decided together with the other parts.
+    waiting,  ///< No searcher had a free connection slot yet.
+    sent,     ///< At least one attempt is open.
+    refused,  ///< The searcher refused the part; a retry is decided together with the other parts.
+    deferred, ///< Waits for an attempt at another part, because the request may crash searchers.
     answered,
     failed,
 };
@@ -30,6 +31,8 @@
         time_point sent{};
         time_point hedge_at{}; ///< Time at which a hedged request may be sent.
         bool may_run = true;   ///< False while the connection is being opened.
+        /// True if the request was suspected of crashing searchers when the attempt was sent.
+        bool suspected = false;
     };
 
     std::string service;
@@ -64,6 +67,9 @@
     /// failed part.
     duration searchers_back_in{};
     time_point deadline{};
+    std::uint32_t losses = 0; ///< Number of attempts that lost their connections.
+    /// True once a searcher has answered, so the request does not crash each searcher that runs it.
+    bool harmless = false;
     std::vector<request_part> parts;
     std::uint32_t attempts = 0;
     std::uint32_t extra_attempts = 0;
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -19,6 +19,10 @@
                   gateway_event::attempt_ended{id, to_attempt_result(std::move(result), binding_.dialect)});
           },
           [this](upstream_call_id id) { deliver(gateway_event::attempt_sent{id}); })
+    , checks_(loop,
+              [this](std::uint64_t id, check_result result) {
+                  deliver(gateway_event::searcher_checked{id, result});
+              })
     , server_(
           loop, limits,
           [this](incoming_request request, respond answer) { take(std::move(request), std::move(answer)); },
@@ -56,6 +60,9 @@
     struct visitor {
         gateway_front& self;
         void operator()(gateway_action::send& it) const { self.send(it); }
+        void operator()(gateway_action::check_searcher& it) const {
+            self.checks_.start(it.id, it.address, it.timeout);
+        }
         void operator()(gateway_action::cancel& it) const { self.pool_.cancel(it.id); }
         void operator()(gateway_action::answer& it) const { self.answer(it); }
         void operator()(gateway_action::report_retry& it) const {
@@ -77,6 +84,14 @@
                        {"also_open", it.also_open}});
             self.measured_.count("requests_lost", "service=\"" + it.service + "\"");
         }
+        void operator()(gateway_action::report_suspect& it) const {
+            log_event(log_level::warning, "request_suspected",
+                      {{"fingerprint", it.fingerprint},
+                       {"searcher", it.searcher},
+                       {"ends", it.ends},
+                       {"outcome", it.outcome},
+                       {"refused_for_ms", static_cast<std::uint64_t>(to_ms(it.refused_for))}});
+        }
         void operator()(gateway_action::report_searcher& it) const {
             log_event(log_level::info, "searcher",
                       {{"searcher", it.searcher},
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <skylarkseam/gateway/gateway.hpp>
+#include <skylarkseam/shell/connection_checks.hpp>
 #include <skylarkseam/shell/http_server.hpp>
 #include <skylarkseam/shell/metrics.hpp>
 #include <skylarkseam/shell/platform_binding.hpp>
@@ -63,6 +64,7 @@
     metrics& measured_;
     gateway gateway_;
     upstream_pool pool_;
+    connection_checks checks_;
     http_server server_;
     wakeup_timer timer_;
     std::unordered_map<request_token, open_request> open_;
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -172,6 +172,11 @@
         metrics_.gauge("searchers_leaving_announced", {}, static_cast<double>(counters.leaving_announced));
         metrics_.gauge("searcher_back_offs", {}, static_cast<double>(counters.back_offs));
         metrics_.gauge("searcher_rate_limits", {}, static_cast<double>(counters.rate_limits));
+        metrics_.gauge("searcher_checks", {}, static_cast<double>(counters.searcher_checks));
+        metrics_.gauge("crash_refusals", {}, static_cast<double>(counters.crash_refusals));
+        metrics_.gauge("suspected_requests", {}, static_cast<double>(front_.decisions().suspects().size()));
+        metrics_.gauge("refused_requests", {},
+                       static_cast<double>(front_.decisions().suspects().refused(loop_.now())));
         metrics_.gauge("upstream_connections", {}, static_cast<double>(front_.pool().connections));
         metrics_.gauge("upstream_connections_opened", {},
                        static_cast<double>(front_.pool().connections_opened));
--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -209,6 +209,8 @@
     out.detail = std::move(result.detail);
     if (!result.response) {
         out.outcome = result.sent ? attempt_outcome::broken : attempt_outcome::not_sent;
+        out.connection_lost = result.sent && result.fault == connection_fault::lost;
+        out.connection_refused = !result.sent && result.fault == connection_fault::refused;
         return out;
     }
     auto& response = *result.response;
--- a/src/skylarkseam/shell/upstream_connection.cpp
+++ b/src/skylarkseam/shell/upstream_connection.cpp
@@ -42,6 +42,11 @@
     return seconds(count);
 }
 
+/// A silent peer is given up too, but its process may run.
+connection_fault fault_of(int error) {
+    return error == ECONNRESET || error == EPIPE ? connection_fault::lost : connection_fault::other;
+}
+
 } // namespace
 
 struct upstream_connection::impl {
@@ -75,10 +80,10 @@
         opened_at = loop.now();
         fd = start_connection(address);
         if (fd < 0) {
-            const std::string reason = std::strerror(errno);
-            loop.post([this, alive = std::weak_ptr<bool>(alive), reason] {
+            const int error = errno;
+            loop.post([this, alive = std::weak_ptr<bool>(alive), error] {
                 if (alive.lock()) {
-                    fail("cannot connect: " + reason);
+                    fail_to_connect(error);
                 }
             });
             return;
@@ -110,7 +115,7 @@
         socklen_t size = sizeof error;
         ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
         if (error != 0) {
-            fail(std::string("cannot connect: ") + std::strerror(error));
+            fail_to_connect(error);
             return;
         }
         sockaddr_in peer{};
@@ -164,11 +169,11 @@
             }
             if (n < 0) {
                 // The searcher may have answered before it closed its side: read what there is first.
-                const std::string reason = std::strerror(errno);
+                const int error = errno;
                 const std::weak_ptr<bool> still = alive;
                 read();
                 if (still.lock() && state == connection_state::busy) {
-                    fail("cannot send: " + reason);
+                    fail(std::string("cannot send: ") + std::strerror(error), fault_of(error));
                 }
                 return;
             }
@@ -195,11 +200,11 @@
                 return;
             }
             if (n < 0) {
-                fail(std::string("connection lost: ") + std::strerror(errno));
+                fail(std::string("connection lost: ") + std::strerror(errno), fault_of(errno));
                 return;
             }
             if (n == 0) {
-                handle(reader.add_end());
+                handle(reader.add_end(), connection_fault::lost);
                 return;
             }
             if (state == connection_state::settling) {
@@ -214,7 +219,7 @@
     }
 
     /// Acts on what has been read; false once the response is complete or the connection is gone.
-    bool handle(reading_state read_state) {
+    bool handle(reading_state read_state, connection_fault fault = connection_fault::other) {
         switch (read_state) {
         case reading_state::incomplete:
             return true;
@@ -222,7 +227,7 @@
             complete();
             return false;
         case reading_state::failed:
-            fail(reader.fault());
+            fail(reader.fault(), fault);
             return false;
         }
         return false;
@@ -273,7 +278,7 @@
         on_closed();
     }
 
-    void fail(const std::string& detail) {
+    void fail(const std::string& detail, connection_fault fault = connection_fault::other) {
         if (state == connection_state::closed) {
             return;
         }
@@ -281,6 +286,7 @@
         result.sent = sent;
         result.connect_time = connect_time;
         result.detail = detail;
+        result.fault = fault;
         const bool waiting = has_request;
         shut();
         auto on_result = callbacks.on_result;
@@ -291,6 +297,11 @@
         }
     }
 
+    void fail_to_connect(int error) {
+        fail(std::string("cannot connect: ") + std::strerror(error),
+             error == ECONNREFUSED ? connection_fault::refused : connection_fault::other);
+    }
+
     void shut() {
         if (settle_timer >= 0) {
             loop.cancel(settle_timer);
--- a/src/skylarkseam/shell/upstream_connection.hpp
+++ b/src/skylarkseam/shell/upstream_connection.hpp
@@ -20,12 +20,20 @@
     std::string echo_value;
 };
 
+/// Why no whole response came, as far as it says something of the searcher's process.
+enum class connection_fault {
+    other,
+    refused, ///< nothing listens at the address
+    lost,    ///< the searcher closed or reset the connection
+};
+
 /// How a request on a connection ended.
 struct upstream_result {
     std::optional<upstream_response> response; ///< absent: no whole response came
     bool sent = false;                         ///< a byte of the request was handed to the connection
     std::optional<duration> connect_time{};    ///< where the connection was opened for this request
-    std::string detail;                        ///< names the fault where there is no response
+    connection_fault fault = connection_fault::other;
+    std::string detail; ///< names the fault where there is no response
 };
 
 /// Invariants: a request is sent at most once; a connection that had bytes nobody asked for, an answer in
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -170,7 +170,8 @@
     while (at < time) {
         at += duration(static_cast<std::int64_t>(-std::log(1.0 - uniform()) * 1e6 / per_second));
         const auto host = host_indices[next++ % host_indices.size()];
-        after(at, [this, path, host] { send_request(path, host); });
+        const auto unique_path = path + "/" + std::to_string(++last_load_request_);
+        after(at, [this, unique_path, host] { send_request(unique_path, host); });
     }
 }
 
@@ -202,6 +203,7 @@
         gateway_world& self;
         std::uint32_t host;
         void operator()(const gateway_action::send& it) const { self.send(host, it); }
+        void operator()(const gateway_action::check_searcher& it) const { self.check(host, it); }
         void operator()(const gateway_action::cancel& it) const {
             const auto key = (attempt_id{host} << 48U) | it.id;
             const auto found = self.in_flight_.find(key);
@@ -214,12 +216,14 @@
             const auto request = self.requests_.at(it.token);
             client_result result{it.token,
                                  request.id,
+                                 request.path,
                                  200,
                                  host,
                                  it.summary.parts,
                                  it.summary.parts_missing,
                                  self.now - request.when,
-                                 {}};
+                                 {},
+                                 it.summary.detail};
             if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
                 result.status = refused->status;
                 result.retry_after = refused->retry_after;
@@ -230,6 +234,7 @@
         }
         void operator()(const gateway_action::report_retry&) const {}
         void operator()(const gateway_action::report_loss&) const {}
+        void operator()(const gateway_action::report_suspect&) const { self.pass_on_suspects(host); }
         void operator()(const gateway_action::report_searcher&) const {}
     };
     for (const auto& it : actions) {
@@ -263,7 +268,7 @@
     attempt_result result;
     if (it.ended) {
         result.outcome = attempt_outcome::not_sent;
-        result.detail = "cannot connect: Connection refused";
+        result.connection_refused = true;
         reply(it, attempt, result);
         return;
     }
@@ -340,6 +345,7 @@
         result.response.body = std::string(16, 'r');
         if (uniform() < it.behaviour.lost_share) {
             result = {};
+            result.connection_lost = true;
         }
         if (!it.behaviour.unreachable) {
             reply(it, attempt, result);
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -66,12 +66,14 @@
 struct client_result {
     request_token token = 0;
     std::string id;
+    std::string path;
     int status = 0;
     std::uint32_t host = 0;
     std::uint32_t parts = 0;
     std::uint32_t missing = 0;
     duration latency{};
     duration retry_after{};
+    std::string fault; ///< Last fault of an attempt, or the reason of a refusal.
 };
 
 class gateway_world {
@@ -104,7 +106,7 @@
     /// Ends a searcher's process: its connections are reset and new ones are refused. Its entry lapses, and
     /// after `down_time` another process starts at the address.
     void crash(model_searcher& it);
-    /// Generates requests at a steady rate to all hosts for `time`.
+    /// Generates requests at a steady rate to all hosts for `time`, each with a path of its own below `path`.
     void load(const std::string& path, double per_second, duration time);
     /// Generates requests at a steady rate to the hosts of one zone for `time`.
     void load_zone(const std::string& zone, const std::string& path, double per_second, duration time);
@@ -123,6 +125,8 @@
 
     std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
     duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
+    /// Time in which what one host learns of such requests reaches the others; absent if it does not.
+    std::optional<duration> report_time;
     std::vector<crash_record> deadly_sent;
     std::vector<crash_record> crashes; ///< Ends of searchers under requests with a deadly path.
 
@@ -152,6 +156,9 @@
     void arrive(model_searcher& it, const std::shared_ptr<in_flight_attempt>& attempt, const std::string& id);
     void run(model_searcher& it, const std::shared_ptr<in_flight_attempt>& attempt, const std::string& id);
     void start_again(model_searcher& it);
+    void check(std::uint32_t host, const gateway_action::check_searcher& action);
+    /// Tells the other hosts what one host has learned of requests under which searchers ended.
+    void pass_on_suspects(std::uint32_t host);
     void for_each_host(const std::function<void(directory& known)>& change);
     void reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                attempt_result result);
@@ -168,6 +175,7 @@
     std::shared_ptr<routing_table> table_ = std::make_shared<routing_table>();
     std::priority_queue<event> events_;
     std::uint64_t order_ = 0;
+    std::map<std::uint32_t, std::uint64_t> passed_on_; ///< Last change that each host has told the others.
     std::map<std::string, model_searcher*> by_address_;
     struct request_record {
         std::string id;
@@ -180,6 +188,7 @@
     std::map<std::string, std::map<std::string, int>> arrivals_; ///< Keyed by service name and request ID.
     std::map<std::string, std::map<std::string, int>> runs_;
     request_token last_token_ = 0;
+    std::uint64_t last_load_request_ = 0;
 };
 
 /// Routes over shards or to a single service, with the objective and timeout of the users' helpline search.
--- a/tests/gateway/searcher_crashes.cpp
+++ b/tests/gateway/searcher_crashes.cpp
@@ -25,7 +25,7 @@
     }
     for (const auto& attempt : lost) {
         attempt_result result;
-        result.detail = "connection lost: Connection reset by peer";
+        result.connection_lost = true;
         reply(it, attempt, result);
     }
     after(lapse_time, [this, id = it.record.id] {
@@ -34,6 +34,33 @@
     after(down_time, [this, &it] { start_again(it); });
 }
 
+void gateway_world::check(std::uint32_t host, const gateway_action::check_searcher& action) {
+    const auto& target = *by_address_.at(action.address);
+    const auto way = link(host, target);
+    after(way, [this, host, way, id = action.id, &target] {
+        const auto result = target.ended ? check_result::refused : check_result::accepted;
+        after(way, [this, host, id, result] { handle(host, gateway_event::searcher_checked{id, result}); });
+    });
+}
+
+void gateway_world::pass_on_suspects(std::uint32_t host) {
+    const auto& suspects = hosts[host]->suspects();
+    const auto reports = suspects.reports_since(passed_on_[host], now);
+    passed_on_[host] = suspects.sequence();
+    if (reports.empty() || !report_time) {
+        return;
+    }
+    after(*report_time, [this, host, reports] {
+        for (std::uint32_t n = 0; n < hosts.size(); ++n) {
+            if (n != host) {
+                std::vector<gateway_output> out;
+                hosts[n]->merge_suspects(reports, now, out);
+                perform(n, out);
+            }
+        }
+    });
+}
+
 void gateway_world::start_again(model_searcher& it) {
     it.ended = false;
     ++it.start;
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -20,6 +20,14 @@
            body;
 }
 
+/// An address of this machine at which nothing listens.
+std::string unused_address() {
+    const int fd = open_listener("127.0.0.1:0");
+    auto address = bound_address(fd);
+    ::close(fd);
+    return address;
+}
+
 struct pool_fixture : loop_fixture {
     std::function<scripted_server::reply(const std::string&)> script = [](const auto&) {
         return scripted_server::reply{answer("hello")};
@@ -66,6 +74,27 @@
     BOOST_TEST(server.accepted == 1);
 }
 
+BOOST_AUTO_TEST_CASE(tells_a_lost_connection_from_a_wrong_answer_and_from_an_address_without_a_process) {
+    script = [](const auto&) { return scripted_server::reply{"", false, true}; };
+    BOOST_TEST((fetch().fault == connection_fault::lost));
+    script = [](const auto&) { return scripted_server::reply{"HTTP/1.1 200 OK\r\nContent-Le", true}; };
+    BOOST_TEST((fetch().fault == connection_fault::lost));
+    script = [](const auto&) { return scripted_server::reply{"no answer at all\r\n\r\n"}; };
+    const auto& wrong = fetch();
+    BOOST_TEST(wrong.sent);
+    BOOST_TEST((wrong.fault == connection_fault::other));
+
+    upstream_call call;
+    call.id = ++last;
+    call.address = unused_address();
+    call.request = {"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", false, "x-request-id", "r1"};
+    call.connect_timeout = seconds(1);
+    pool.send(std::move(call));
+    BOOST_REQUIRE(run_until([&] { return results.count(last) > 0; }));
+    BOOST_TEST(!results.at(last).sent);
+    BOOST_TEST((results.at(last).fault == connection_fault::refused));
+}
+
 BOOST_AUTO_TEST_CASE(tells_when_a_request_goes_out_that_waited_for_its_connection) {
     const auto first = send();
     BOOST_TEST(!sent_at_once);
