Tell all gateways which requests crash searchers

Each host counted for itself, so that eight hosts let a request crash three searchers each.

Change: a gateway tells its neighbours (the one that it follows and those that follow it) what is new, each of them passes it on, and a gateway that starts asks the one that it follows for everything. It is a topic of its own; the messages by which gateways follow each other stay as they are, and a build that does not know the topic answers nothing. There are no calls while there is nothing to tell.

A query over ten shards crashes 13 searchers in all, one of each shard and three more, instead of all 30. The exchange over the product's group in virtual time reaches 9 and 90 hosts within 1 s, and within 5 s when the host that passes it on stands still; for this the model of the group gained the caller's timeout of a poll, without which a poll at a host that stands still never failed.

--- a/src/skylarkseam/gateway/crash_suspects.cpp
+++ b/src/skylarkseam/gateway/crash_suspects.cpp
@@ -114,12 +114,14 @@
     return changed;
 }
 
-void crash_suspects::note_answered(const std::string& fingerprint, time_point now) {
+bool crash_suspects::note_answered(const std::string& fingerprint, time_point now) {
     std::erase_if(losses_, [&](const auto& it) { return it.fingerprint == fingerprint; });
     const auto found = suspects_.find(fingerprint);
-    if (found != suspects_.end() && set_answered(found->second, now)) {
-        found->second.sequence = ++sequence_;
+    if (found == suspects_.end() || !set_answered(found->second, now)) {
+        return false;
     }
+    found->second.sequence = ++sequence_;
+    return true;
 }
 
 bool crash_suspects::set_answered(suspect& it, time_point when) {
@@ -187,15 +189,15 @@
     std::vector<std::string> changed;
     for (const auto& report : reports) {
         const auto found = suspects_.find(report.fingerprint);
-        if (report.answered && found != suspects_.end() &&
-            set_answered(found->second, now - *report.answered)) {
+        bool is_new = report.answered && found != suspects_.end() &&
+                      set_answered(found->second, now - *report.answered);
+        if (is_new) {
             found->second.sequence = ++sequence_;
         }
-        bool has_new_end = false;
         for (const auto& end : report.ends) {
-            has_new_end = add_end(report.fingerprint, {end.searcher, now - end.age}, now) || has_new_end;
+            is_new = add_end(report.fingerprint, {end.searcher, now - end.age}, now) || is_new;
         }
-        if (has_new_end) {
+        if (is_new) {
             changed.push_back(report.fingerprint);
         }
     }
--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -80,14 +80,14 @@
     std::vector<std::string> note_ended(const known_searcher& searcher, time_point now);
     /// The same for all searchers whose entry was removed or replaced.
     std::vector<std::string> note_removed(time_point now);
-    /// Handles an answer to the request.
-    void note_answered(const std::string& fingerprint, time_point now);
+    /// Handles an answer to the request. Returns true if it clears the request.
+    bool note_answered(const std::string& fingerprint, time_point now);
 
     /// Number of changes so far.
     [[nodiscard]] std::uint64_t sequence() const { return sequence_; }
     /// What was learned after change number `after`; everything if it is 0.
     [[nodiscard]] std::vector<suspect_report> reports_since(std::uint64_t after, time_point now) const;
-    /// Takes over what another host reports. Returns the fingerprints of the requests with a new end.
+    /// Takes over what another host reports. Returns the fingerprints of the requests of which more is known.
     std::vector<std::string> merge(const std::vector<suspect_report>& reports, time_point now);
 
     void expire(time_point now);
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -6,10 +6,12 @@
 
 gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
                              std::size_t answer_limit, gateway_options options,
-                             std::function<duration()> knowledge_age, metrics& measured)
+                             std::function<duration()> knowledge_age, std::function<void()> on_suspects,
+                             metrics& measured)
     : loop_(loop)
     , binding_(binding)
     , knowledge_age_(std::move(knowledge_age))
+    , on_suspects_(std::move(on_suspects))
     , measured_(measured)
     , gateway_(std::move(options))
     , pool_(
@@ -91,6 +93,7 @@
                        {"ends", it.ends},
                        {"outcome", it.outcome},
                        {"refused_for_ms", static_cast<std::uint64_t>(to_ms(it.refused_for))}});
+            self.on_suspects_();
         }
         void operator()(gateway_action::report_searcher& it) const {
             log_event(log_level::info, "searcher",
@@ -195,6 +198,13 @@
     timer_.set(gateway_.next_wakeup());
 }
 
+void gateway_front::merge_suspects(const std::vector<suspect_report>& reports) {
+    std::vector<gateway_output> actions;
+    gateway_.merge_suspects(reports, loop_.now(), actions);
+    perform(std::move(actions));
+    timer_.set(gateway_.next_wakeup());
+}
+
 void gateway_front::update(const std::function<void(directory& searchers)>& change) {
     std::vector<gateway_output> actions;
     change(gateway_.searchers());
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -18,9 +18,10 @@
 class gateway_front {
 public:
     /// \param knowledge_age  since the store confirmed what this gateway knows, for the log
+    /// \param on_suspects  called when more is known of requests that crash searchers
     gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
                   std::size_t answer_limit, gateway_options options, std::function<duration()> knowledge_age,
-                  metrics& measured);
+                  std::function<void()> on_suspects, metrics& measured);
 
     std::string listen(const std::string& address) { return server_.listen(address); }
 
@@ -34,6 +35,8 @@
     bool set_table(std::shared_ptr<const routing_table> table);
     /// Every searcher's registration is known.
     void set_listing_complete();
+    /// Takes over what other gateways report of requests that crash searchers.
+    void merge_suspects(const std::vector<suspect_report>& reports);
     /// Changes what is known of the searchers.
     void update(const std::function<void(directory& searchers)>& change);
 
@@ -61,6 +64,7 @@
     event_loop& loop_;
     const platform_binding& binding_;
     std::function<duration()> knowledge_age_;
+    std::function<void()> on_suspects_;
     metrics& measured_;
     gateway gateway_;
     upstream_pool pool_;
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -52,7 +52,8 @@
         , reload_(std::move(reload))
         , front_(
               loop_, binding_, http_limits_of(settings.limits), settings.limits.upstream_body_bytes,
-              options_of(settings, began_), [this] { return knowledge_.age(); }, metrics_)
+              options_of(settings, began_), [this] { return knowledge_.age(); },
+              [this] { knowledge_.spread_suspects(); }, metrics_)
         , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
                      [this](const incoming_request&, const respond& answer) { answer_readiness(answer); })
         , admin_(
@@ -121,6 +122,8 @@
             complete_ = true;
             front_.set_listing_complete();
         };
+        out.suspects.known = [this]() -> const crash_suspects& { return front_.decisions().suspects(); };
+        out.suspects.merge = [this](const auto& reports) { front_.merge_suspects(reports); };
         out.on_hosts = [this](const host_counts& hosts) {
             front_.decisions().set_hosts(hosts);
             log_event(log_level::info, "hosts",
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -24,6 +24,7 @@
     , handlers_(std::move(handlers))
     , client_(loop, limits)
     , server_(loop, limits)
+    , suspects_(loop, client_, server_, handlers_.suspects)
     , store_(loop, binding, store_url, epoch, store_timing::for_peers(timing),
              [this](std::vector<store_output> events) { take_store(std::move(events)); })
     , known_(epoch)
@@ -38,6 +39,7 @@
     group_ = std::make_unique<peer_group>(gateway_identity{name, zone, bound}, std::move(seeds), timing_,
                                           first_start, loop_.now());
     log_event(log_level::info, "peers_listening", {{"address", bound}});
+    suspects_.start(bound);
     tick();
 }
 
@@ -66,6 +68,7 @@
         }
         const auto& it = request.value();
         group_->take_call(it.view, loop_.now());
+        suspects_.note_follower(it.view.sender.address);
         begin_incarnation(it.position.incarnation, it.view.sender.name);
         const auto id = ++last_poll_id_;
         responders_[id] = to;
@@ -84,6 +87,7 @@
     for (const auto& it : calls) {
         call(it);
     }
+    suspects_.set_followed(group_->followed());
     const bool watch = group_->should_watch_store(known_.confirmed(), now);
     store_.set_active(watch, group_->has_predecessor(), known_.revisions(), known_.incarnation());
     if (watch != watching_) {
@@ -173,6 +177,9 @@
         return;
     }
     begin_incarnation(update.incarnation, address);
+    if (positions_[address].epoch != update.epoch) {
+        suspects_.note_restart(address);
+    }
     const auto changes = known_.apply(update);
     apply(changes.registrations);
     apply(changes.evacuations);
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -8,6 +8,7 @@
 #include <skylarkseam/gateway/store_replica.hpp>
 #include <skylarkseam/shell/peer_transport.hpp>
 #include <skylarkseam/shell/store_runner.hpp>
+#include <skylarkseam/shell/suspect_runner.hpp>
 
 #include <functional>
 #include <map>
@@ -23,6 +24,7 @@
     /// The store returned from an older copy; what it says in the next seconds may be outdated.
     std::function<void()> on_store_restored;
     std::function<void()> on_complete; ///< every registration is known; called once
+    suspect_source suspects;           ///< what is exchanged with the other gateways
 };
 
 class knowledge_runner {
@@ -39,6 +41,9 @@
     /// Other gateways follow somebody else from now on.
     void leave();
 
+    /// More is known of requests that crash searchers.
+    void spread_suspects() { suspects_.run(); }
+
     /// Since the store confirmed what is known; 0 where it never did.
     [[nodiscard]] duration age() const;
     [[nodiscard]] std::uint64_t store_calls() const { return store_.calls(); }
@@ -78,6 +83,7 @@
     knowledge_handlers handlers_;
     peer_client client_;
     peer_server server_;
+    suspect_runner suspects_;
     store_runner store_;
     store_replica known_;
     std::unique_ptr<peer_group> group_;
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -126,7 +126,7 @@
     std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
     duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
     /// Time in which what one host learns of such requests reaches the others; absent if it does not.
-    std::optional<duration> report_time;
+    std::optional<duration> report_time = milliseconds(60);
     std::vector<crash_record> deadly_sent;
     std::vector<crash_record> crashes; ///< Ends of searchers under requests with a deadly path.
 
--- a/tests/gateway/spread_world.cpp
+++ b/tests/gateway/spread_world.cpp
@@ -227,12 +227,18 @@
     it.polls_to_other_zones += it.who.zone != other->who.zone ? 1 : 0;
     const auto wait = timing_.follow_wait;
     const auto position = it.positions[call.address];
-    at(now_ + delay, [this, &it, other, call, view, position, wait, timeout] {
-        if (other->frozen) {
-            fail_peer_call(it, call, wait + timeout);
-            return;
+    const auto id = ++it.last_poll;
+    it.open_poll = id;
+    at(now_ + delay, [this, &it, other, view, position, wait, id] {
+        if (!other->frozen) {
+            take_poll(*other, view, {id, it.who, position, now_, now_ + wait});
+        }
+    });
+    at(now_ + wait + timeout, [&it, this, call, id] {
+        if (it.open_poll == id) {
+            it.open_poll = 0;
+            it.group->take_answer(call, std::nullopt, {}, now_);
         }
-        take_poll(*other, view, {0, it.who, position, now_, now_ + wait});
     });
 }
 
@@ -263,8 +269,12 @@
     const auto view =
         source.group->view_for_follower(follower->who, poll.position.epoch == update.epoch, now_);
     const peer_call call{peer_call::kind::follow, source.who.address};
-    at(now_ + latency(source, *follower),
-       [this, follower, call, view, update] { take_update(*follower, call, view, update); });
+    at(now_ + latency(source, *follower), [this, follower, call, view, update, id = poll.id] {
+        if (follower->open_poll == id) {
+            follower->open_poll = 0;
+            take_update(*follower, call, view, update);
+        }
+    });
 }
 
 void spread_world::take_update(spread_host& it, const peer_call& call, const group_view& view,
--- a/tests/gateway/spread_world.hpp
+++ b/tests/gateway/spread_world.hpp
@@ -29,6 +29,8 @@
     std::unique_ptr<follower_polls> polls;
     store_access access = store_access::served;
     bool frozen = false;
+    std::uint64_t last_poll = 0;
+    std::uint64_t open_poll = 0; ///< The poll that waits for an answer; 0 if there is none
     std::uint64_t store_calls = 0;
     std::uint64_t polls_to_other_zones = 0;
     /// Time at which each version of the configuration came into force.
--- a/tests/shell/gateway_front_test.cpp
+++ b/tests/shell/gateway_front_test.cpp
@@ -28,6 +28,7 @@
                         1024,
                         {{"a", "north", {{"a", "north"}}}, {}, {}, 1},
                         [] { return duration::zero(); },
+                        [] {},
                         measured};
     std::string address = front.listen("127.0.0.1:0");
     http_client client{loop};
