Keep the requests that crash searchers in the platform's store

What the gateways told each other was forgotten when all of them ended at the same time, so that such a request would crash three searchers more.

Change: a gateway that finds a third end creates an object of a kind of the gateways' own; a gateway that watches the store does so in its stead after 2 to 5 s. It is listed at a start, after the store's return from an older copy, every 30 to 60 s (with data that may be stale) and every 3 s by a gateway that hears from no other zone, and removed when it is no longer remembered. No time is stored: a gateway counts from when it first sees the entry. The calls' names are in platform/suspect_codec only.

--- a/src/skylarkseam/cli/gateway_command.cpp
+++ b/src/skylarkseam/cli/gateway_command.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <platform/dialect.hpp>
 #include <platform/store_codec.hpp>
+#include <platform/suspect_codec.hpp>
 
 namespace skylarkseam {
 namespace {
@@ -48,8 +49,9 @@
     if (!settings) {
         return exit_code::failure;
     }
-    const platform_binding binding{platform::dialect(), &platform::target_of, &platform::read_answer,
-                                   &platform::read_routing};
+    const platform_binding binding{platform::dialect(),        &platform::target_of,
+                                   &platform::read_answer,     &platform::read_routing,
+                                   &platform::suspect_request, &platform::read_suspects};
     const auto status = run_gateway(*settings, binding, [path] { return read_gateway_settings(path); });
     return status == 0 ? exit_code::success : exit_code::failure;
 }
--- a/src/skylarkseam/gateway/crash_suspects.cpp
+++ b/src/skylarkseam/gateway/crash_suspects.cpp
@@ -165,21 +165,34 @@
     }));
 }
 
+suspect_report crash_suspects::report_of(const std::string& fingerprint, const suspect& it, time_point now) {
+    suspect_report report;
+    report.fingerprint = fingerprint;
+    for (const auto& end : it.ends) {
+        report.ends.push_back({end.searcher, now - end.when});
+    }
+    if (it.answered) {
+        report.answered = now - *it.answered;
+    }
+    return report;
+}
+
 std::vector<suspect_report> crash_suspects::reports_since(std::uint64_t after, time_point now) const {
     std::vector<suspect_report> out;
     for (const auto& [fingerprint, it] : suspects_) {
-        if (it.sequence <= after || expired(it, now)) {
-            continue;
+        if (it.sequence > after && !expired(it, now)) {
+            out.push_back(report_of(fingerprint, it, now));
         }
-        suspect_report report;
-        report.fingerprint = fingerprint;
-        for (const auto& end : it.ends) {
-            report.ends.push_back({end.searcher, now - end.when});
-        }
-        if (it.answered) {
-            report.answered = now - *it.answered;
+    }
+    return out;
+}
+
+std::vector<suspect_report> crash_suspects::refused_reports(time_point now) const {
+    std::vector<suspect_report> out;
+    for (const auto& [fingerprint, it] : suspects_) {
+        if (refused_until(fingerprint, now)) {
+            out.push_back(report_of(fingerprint, it, now));
         }
-        out.push_back(std::move(report));
     }
     return out;
 }
@@ -220,12 +233,4 @@
     }));
 }
 
-std::vector<std::string> crash_suspects::fingerprints() const {
-    std::vector<std::string> out;
-    for (const auto& [fingerprint, it] : suspects_) {
-        out.push_back(fingerprint);
-    }
-    return out;
-}
-
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -93,7 +93,8 @@
     void expire(time_point now);
     [[nodiscard]] std::size_t size() const { return suspects_.size(); }
     [[nodiscard]] std::size_t refused(time_point now) const;
-    [[nodiscard]] std::vector<std::string> fingerprints() const;
+    /// What is known of the requests that are refused.
+    [[nodiscard]] std::vector<suspect_report> refused_reports(time_point now) const;
 
 private:
     struct searcher_end {
@@ -112,6 +113,8 @@
         bool being_checked = true;
     };
 
+    [[nodiscard]] static suspect_report report_of(const std::string& fingerprint, const suspect& it,
+                                                  time_point now);
     [[nodiscard]] std::size_t count_ends(const suspect& it, time_point now) const;
     [[nodiscard]] bool expired(const suspect& it, time_point now) const;
     /// Returns false if the end is known or does not count.
--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -208,8 +208,9 @@
 /// Reports that a searcher ended under a request, or that another host said so.
 struct report_suspect {
     std::string fingerprint;
-    std::string searcher; ///< Empty if another host reported it.
-    std::size_t ends = 0; ///< Number of searchers that have ended under the request.
+    std::string searcher;    ///< Searcher that ended; empty if it is not known.
+    bool found_here = false; ///< True if this host found it out, false if it was told.
+    std::size_t ends = 0;    ///< Number of searchers that have ended under the request.
     std::string outcome;
     duration refused_for{}; ///< Time for which the request is refused; 0 if it is not.
 };
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -88,7 +88,7 @@
 
 void gateway::on_searchers_changed(time_point now, output& out) {
     const auto suspected = suspects_.note_removed(now);
-    report_suspects(suspected, {}, now, out);
+    report_suspects(suspected, {}, true, now, out);
     continue_runs_of(suspected, now, out);
     std::vector<std::string> services;
     for (const auto& [service, list] : wait_lists_) {
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -163,7 +163,7 @@
     /// Holds the end of a searcher against the requests that were open there.
     void on_searcher_ended(const known_searcher& it, time_point now, output& out);
     void report_suspects(const std::vector<std::string>& fingerprints, const std::string& searcher,
-                         time_point now, output& out);
+                         bool found_here, time_point now, output& out);
     /// Continues the open requests for which `affected` holds.
     void continue_runs(const std::function<bool(const request_run& run)>& affected, time_point now,
                        output& out);
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -238,7 +238,7 @@
         it.response = std::move(result.response);
         run->harmless = true;
         if (suspects_.note_answered(run->fingerprint, now)) {
-            report_suspects({run->fingerprint}, {}, now, out);
+            report_suspects({run->fingerprint}, {}, true, now, out);
         }
         if (const auto* const plan = run->shards()) {
             // More records of one part cannot be in the answer, and would only use memory until the other
--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -151,21 +151,21 @@
 
 void gateway::on_searcher_ended(const known_searcher& it, time_point now, output& out) {
     const auto suspected = suspects_.note_ended(it, now);
-    report_suspects(suspected, it.record.id, now, out);
+    report_suspects(suspected, it.record.id, true, now, out);
     continue_runs_of(suspected, now, out);
 }
 
 void gateway::merge_suspects(const std::vector<suspect_report>& reports, time_point now, output& out) {
     const auto changed = suspects_.merge(reports, now);
-    report_suspects(changed, {}, now, out);
+    report_suspects(changed, {}, false, now, out);
     continue_runs_of(changed, now, out);
 }
 
 void gateway::report_suspects(const std::vector<std::string>& fingerprints, const std::string& searcher,
-                              time_point now, output& out) {
+                              bool found_here, time_point now, output& out) {
     for (const auto& it : fingerprints) {
         const auto until = suspects_.refused_until(it, now);
-        out.emplace_back(gateway_action::report_suspect{it, searcher, suspects_.ends_of(it, now),
+        out.emplace_back(gateway_action::report_suspect{it, searcher, found_here, suspects_.ends_of(it, now),
                                                         std::string(name_of(suspects_.of(it, now))),
                                                         until ? *until - now : duration::zero()});
     }
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -6,12 +6,12 @@
 
 gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
                              std::size_t answer_limit, gateway_options options,
-                             std::function<duration()> knowledge_age, std::function<void()> on_suspects,
+                             std::function<duration()> knowledge_age, suspect_handler on_suspect,
                              metrics& measured)
     : loop_(loop)
     , binding_(binding)
     , knowledge_age_(std::move(knowledge_age))
-    , on_suspects_(std::move(on_suspects))
+    , on_suspect_(std::move(on_suspect))
     , measured_(measured)
     , gateway_(std::move(options))
     , pool_(
@@ -90,10 +90,11 @@
             log_event(log_level::warning, "request_suspected",
                       {{"fingerprint", it.fingerprint},
                        {"searcher", it.searcher},
+                       {"found_here", it.found_here ? "yes" : "no"},
                        {"ends", it.ends},
                        {"outcome", it.outcome},
                        {"refused_for_ms", static_cast<std::uint64_t>(to_ms(it.refused_for))}});
-            self.on_suspects_();
+            self.on_suspect_(it);
         }
         void operator()(gateway_action::report_searcher& it) const {
             log_event(log_level::info, "searcher",
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -17,11 +17,13 @@
 
 class gateway_front {
 public:
+    /// Called when more is known of a request that crashes searchers.
+    using suspect_handler = std::function<void(const gateway_action::report_suspect& report)>;
+
     /// \param knowledge_age  since the store confirmed what this gateway knows, for the log
-    /// \param on_suspects  called when more is known of requests that crash searchers
     gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
                   std::size_t answer_limit, gateway_options options, std::function<duration()> knowledge_age,
-                  std::function<void()> on_suspects, metrics& measured);
+                  suspect_handler on_suspect, metrics& measured);
 
     std::string listen(const std::string& address) { return server_.listen(address); }
 
@@ -64,7 +66,7 @@
     event_loop& loop_;
     const platform_binding& binding_;
     std::function<duration()> knowledge_age_;
-    std::function<void()> on_suspects_;
+    suspect_handler on_suspect_;
     metrics& measured_;
     gateway gateway_;
     upstream_pool pool_;
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -53,7 +53,7 @@
         , front_(
               loop_, binding_, http_limits_of(settings.limits), settings.limits.upstream_body_bytes,
               options_of(settings, began_), [this] { return knowledge_.age(); },
-              [this] { knowledge_.spread_suspects(); }, metrics_)
+              [this](const auto& it) { knowledge_.note_suspect(it.fingerprint, it.found_here); }, metrics_)
         , readiness_(loop_, {1024, settings.limits.header_bytes, readiness_connections, 64},
                      [this](const incoming_request&, const respond& answer) { answer_readiness(answer); })
         , admin_(
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -25,6 +25,7 @@
     , client_(loop, limits)
     , server_(loop, limits)
     , suspects_(loop, client_, server_, handlers_.suspects)
+    , suspect_store_(loop, binding, store_url, epoch, handlers_.suspects)
     , store_(loop, binding, store_url, epoch, store_timing::for_peers(timing),
              [this](std::vector<store_output> events) { take_store(std::move(events)); })
     , known_(epoch)
@@ -95,6 +96,8 @@
         log_event(log_level::info, watch ? "watching_store" : "following",
                   {{"peer", group_->followed()}, {"routing_version", known_.routing().version}});
     }
+    const bool alone = watch && hosts_.zones > 1 && group_->followed().empty();
+    suspect_store_.set_duty({watch, alone});
     census_.update(group_->hosts_by_zone(), now);
     const auto hosts = census_.counts(now);
     if (hosts != hosts_) {
@@ -295,6 +298,7 @@
                {"searchers_kept", known_.searchers()},
                {"zones_kept_evacuated", known_.evacuated_zones().size()},
                {"configuration_kept", known_.routing().version}});
+    suspect_store_.note_restored();
     handlers_.on_store_restored();
 }
 
@@ -343,6 +347,11 @@
     }
 }
 
+void knowledge_runner::note_suspect(const std::string& fingerprint, bool found_here) {
+    suspects_.run();
+    suspect_store_.note_suspect(fingerprint, found_here);
+}
+
 void knowledge_runner::answer_followers() {
     for (const auto& it : polls_.take_due(as_source(), loop_.now())) {
         answer(it);
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -9,6 +9,7 @@
 #include <skylarkseam/shell/peer_transport.hpp>
 #include <skylarkseam/shell/store_runner.hpp>
 #include <skylarkseam/shell/suspect_runner.hpp>
+#include <skylarkseam/shell/suspect_store_runner.hpp>
 
 #include <functional>
 #include <map>
@@ -41,12 +42,13 @@
     /// Other gateways follow somebody else from now on.
     void leave();
 
-    /// More is known of requests that crash searchers.
-    void spread_suspects() { suspects_.run(); }
+    /// More is known of a request that crashes searchers.
+    /// \param found_here  whether this gateway found it out itself
+    void note_suspect(const std::string& fingerprint, bool found_here);
 
     /// Since the store confirmed what is known; 0 where it never did.
     [[nodiscard]] duration age() const;
-    [[nodiscard]] std::uint64_t store_calls() const { return store_.calls(); }
+    [[nodiscard]] std::uint64_t store_calls() const { return store_.calls() + suspect_store_.calls(); }
     [[nodiscard]] std::string state_json() const;
 
 private:
@@ -84,6 +86,7 @@
     peer_client client_;
     peer_server server_;
     suspect_runner suspects_;
+    suspect_store_runner suspect_store_;
     store_runner store_;
     store_replica known_;
     std::unique_ptr<peer_group> group_;
--- a/src/skylarkseam/shell/platform_binding.hpp
+++ b/src/skylarkseam/shell/platform_binding.hpp
@@ -3,6 +3,7 @@
 
 #include <skylarkseam/gateway/http_dialect.hpp>
 #include <skylarkseam/gateway/store_follower.hpp>
+#include <skylarkseam/gateway/suspect_store.hpp>
 
 #include <functional>
 #include <string>
@@ -19,6 +20,11 @@
         read_answer;
     /// Decodes a configuration that another gateway sent as it stands in the store.
     std::function<store_value(const std::string& text)> read_routing;
+    /// A call about requests that crash searchers.
+    std::function<store_request(const suspect_store_call& call)> request_of;
+    /// Decodes the store's answer; status 0 stands for none.
+    std::function<suspect_store_answer(const suspect_store_call& call, int status, const std::string& body)>
+        read_suspects;
 };
 
 } // namespace skylarkseam
--- a/tests/shell/gateway_front_test.cpp
+++ b/tests/shell/gateway_front_test.cpp
@@ -20,6 +20,8 @@
                               "x-proof", "x-proofs", "x-missing", "/r"},
                              {},
                              {},
+                             {},
+                             {},
                              {}};
     metrics measured;
     gateway_front front{loop,
@@ -28,7 +30,7 @@
                         1024,
                         {{"a", "north", {{"a", "north"}}}, {}, {}, 1},
                         [] { return duration::zero(); },
-                        [] {},
+                        [](const auto&) {},
                         measured};
     std::string address = front.listen("127.0.0.1:0");
     http_client client{loop};
