Play requests that crash searchers in the soak

The soak had no request that ends a searcher, and its store took no writes of the gateways.

What other hosts found out is logged at level debug unless it makes a request be refused.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,7 @@
         self.world = world
         self.broken = []
         self.asked = {}  # request id -> (method, target, body, route)
+        self.deadly_asked = {}  # the same of requests that crash searchers
         self.runs = defaultdict(int)
         self.refused = set()  # ids that were said not to have run
         self.arrivals = defaultdict(list)  # (service, id) -> times
@@ -31,8 +32,12 @@
         for service in route["FanoutServices"] or [route["Service"]]:
             self.requests[service].append(time.monotonic())
 
+    def asked_deadly(self, request_id, method, target, body, route):
+        """A request that is not counted among those that should be served."""
+        self.deadly_asked[request_id] = (method, target, body, route)
+
     def arrived(self, searcher, request_id, method, target, body):
-        asked = self.asked.get(request_id)
+        asked = self.asked.get(request_id) or self.deadly_asked.get(request_id)
         if asked is None or asked[:3] != (method, target, body):
             self.fail("unasked", f"{searcher.name} got {method} {target} as {request_id}")
             return
@@ -71,7 +76,7 @@
 
     def ran(self, searcher, request_id):
         self.runs[searcher.service, request_id] += 1
-        asked = self.asked.get(request_id)
+        asked = self.asked.get(request_id) or self.deadly_asked.get(request_id)
         if asked and asked[3]["Kind"] == "unsafe":
             if self.runs[searcher.service, request_id] > 1:
                 self.fail("twice", request_id)
--- a/soak/outside.py
+++ b/soak/outside.py
@@ -76,19 +76,38 @@
             writer.transport.abort()
             return False
         await asyncio.sleep(self.delay)
-        if self.mode == "busy" or method != "GET":
+        if self.mode == "busy":
             writer.write(wire.response(503, headers={"Store-Era": str(self.era)}))
             return True
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         kind = parts.path.split("/")[3]
-        status, answer = await (self.watch(kind, query) if "Watch" in query else self.list(kind, query))
+        if method != "GET":
+            status, answer = self.change(kind, method, parts.path.split("/")[4:], body)
+        else:
+            status, answer = await (self.watch(kind, query) if "Watch" in query else self.list(kind, query))
         writer.write(wire.response(status, json.dumps(answer).encode(), {"Content-Type": "application/json", "Store-Era": str(self.era)}))
         return True
 
+    def change(self, kind, method, names, body):
+        """Creates or removes an object of the gateways' own kinds."""
+        if kind in ("config", "servers", "evacuations"):
+            return 400, {}
+        objects = self.objects.setdefault(kind, {})
+        if method == "POST":
+            given = json.loads(body)
+            if given["meta"]["Name"] in objects:
+                return 409, objects[given["meta"]["Name"]]
+            self.put(kind, given["meta"]["Name"], given["spec"])
+            return 201, objects[given["meta"]["Name"]]
+        found = objects.get(names[0])
+        self.delete(kind, names[0])
+        return (200, found) if found else (404, {})
+
     async def list(self, kind, query):
-        names = sorted(name for name in self.objects[kind] if name > query.get("after", ""))
-        items = [self.objects[kind][name] for name in names[: self.PAGE]]
+        objects = self.objects.get(kind, {})
+        names = sorted(name for name in objects if name > query.get("after", ""))
+        items = [objects[name] for name in names[: self.PAGE]]
         return 200, {"items": items, "HasMore": len(names) > self.PAGE, "AsOf": self.revision}
 
     async def watch(self, kind, query):
@@ -135,13 +154,23 @@
         self.endless = 0.0  # share of the answers that never end
         self.spec = None  # what it has registered; None: it has left
         self.server, self.port = None, 0
+        self.writers = set()  # of its connections
+        self.ended = False  # no process listens at its address
         self.free = asyncio.Semaphore(self.SLOTS)
 
-    async def start(self):
-        self.server = await wire.serve("127.0.0.1", 0, self.handle)
+    async def start(self, port=0):
+        self.server = await wire.serve("127.0.0.1", port, self.handle)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.ended = False
         self.register("ready")
 
+    def forget(self):
+        """What a new process does not know of the one before."""
+        self.running, self.queued = 0, 0
+        self.leaving, self.told, self.refused_until = False, {}, {}
+        self.limit, self.limit_told, self.limited_arrivals = None, {}, []
+        self.free = asyncio.Semaphore(self.SLOTS)
+
     def register(self, state):
         self.spec = {"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": self.zone,
                      "Version": "v1", "Slots": self.SLOTS, "State": state, "WarmupLeftMs": 0, "Sequence": 1,
@@ -168,11 +197,15 @@
         if headers.get("x-expect-instance") not in (None, self.name):
             writer.write(wire.response(421, headers={"X-Instance-Id": self.name}))
             return True
+        self.writers.add(writer)
         while self.dark:
             await asyncio.sleep(0.2)
             if writer.is_closing():
                 return False
         self.world.checks.arrived(self, request_id, method, target, body)
+        deadly = self.world.deadly.get(target)
+        if deadly:
+            deadly.arrived(self)
         self.world.checks.arrived_despite(self, request_id, writer)
         self.world.checks.arrived_under_limit(self, writer)
         if self.wants_nothing_s > 0:
@@ -186,9 +219,18 @@
             return True
         self.queued += 1
         async with self.free:
+            if self.ended or self.name != own:
+                return False
             self.queued -= 1
             self.world.checks.ran(self, request_id)
-            await asyncio.sleep(self.world.work[target.split("/")[1]] * (0.5 + random.random()) * self.slow)
+            work = self.world.work[target.split("/")[1]] * (0.5 + random.random()) * self.slow
+            await asyncio.sleep(work / 3 if deadly else work)
+            if self.ended or self.name != own:
+                return False
+            if deadly:
+                deadly.ends.append(time.monotonic())
+                self.world.crash(self)
+                return False
         answer = wire.response(200, b"".join(records_of(own, request_id)),
                                {"X-Request-Id": request_id, "X-Server-Stamp": f"{own}.{request_id}",
                                 **self.announcements(writer)})
--- a/src/skylarkseam/gateway/suspect_store.cpp
+++ b/src/skylarkseam/gateway/suspect_store.cpp
@@ -14,6 +14,9 @@
 /// Time after which a gateway that watches the store writes what the gateway that found it should have
 /// written. The gateways take their turns at different times, so that mostly one of them writes.
 constexpr duration stead_delay = seconds(2);
+/// The same after the store has lost entries: until they are written again, only the gateways know them.
+constexpr duration stead_delay_restored = milliseconds(200);
+constexpr duration restored_time = seconds(10);
 constexpr duration removal_spread = seconds(30);
 constexpr std::uint32_t jitter_steps = 64;
 constexpr std::size_t max_stored = 512;
@@ -31,6 +34,8 @@
     list_after_.clear();
     listing_.clear();
     created_.clear();
+    write_due_.clear();
+    written_again_until_ = now + restored_time;
 }
 
 std::optional<suspect_store_call> suspect_store::take_call(const crash_suspects& known, store_duty duty,
@@ -61,7 +66,8 @@
         if (stored_.contains(name) || created_.contains(name) || stored_.size() >= max_stored) {
             continue;
         }
-        const auto due = write_due_.try_emplace(name, now + stead_delay + jittered(stead_delay)).first;
+        const auto delay = now < written_again_until_ ? stead_delay_restored : stead_delay;
+        const auto due = write_due_.try_emplace(name, now + delay + jittered(delay)).first;
         if (found_.contains(name) || (duty.watching && listed_ && now >= due->second)) {
             suspect_store_call call{suspect_store_call::kind::create, {}, false, {name, 0, {}}};
             for (const auto& end : it.ends) {
--- a/src/skylarkseam/gateway/suspect_store.hpp
+++ b/src/skylarkseam/gateway/suspect_store.hpp
@@ -86,12 +86,13 @@
 
     pcg32 random_;
     bool open_ = false;
-    bool listed_ = false;    ///< Whether a listing is complete
-    bool restored_ = true;   ///< Whether the next listing must not be stale
-    time_point due_{};       ///< Time from which a call may be made
-    time_point listed_at_{}; ///< Time of the last listing
-    duration list_wait_{};   ///< Time after which the entries are listed again
-    std::string list_after_; ///< Last name of the previous page while a listing is in progress
+    bool listed_ = false;              ///< Whether a listing is complete
+    bool restored_ = true;             ///< Whether the next listing must not be stale
+    time_point due_{};                 ///< Time from which a call may be made
+    time_point listed_at_{};           ///< Time of the last listing
+    duration list_wait_{};             ///< Time after which the entries are listed again
+    time_point written_again_until_{}; ///< Time up to which lost entries are written again soon
+    std::string list_after_;           ///< Last name of the previous page while a listing is in progress
     std::uint32_t failures_ = 0;
     std::map<std::string, std::uint64_t> stored_;  ///< Revisions by fingerprint, as of the last listing
     std::map<std::string, std::uint64_t> listing_; ///< The same of the listing in progress
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -87,7 +87,9 @@
             self.measured_.count("requests_lost", "service=\"" + it.service + "\"");
         }
         void operator()(gateway_action::report_suspect& it) const {
-            log_event(log_level::warning, "request_suspected",
+            // What other hosts have found out is in their logs.
+            const bool is_told = !it.found_here && it.refused_for == duration::zero();
+            log_event(is_told ? log_level::debug : log_level::warning, "request_suspected",
                       {{"fingerprint", it.fingerprint},
                        {"searcher", it.searcher},
                        {"found_here", it.found_here ? "yes" : "no"},
