Count searchers by fault in the metrics

Whether a host that serves nobody has lost its own links, or its searchers are down, could be told only by comparing the `searcher` lines of several hosts: no figure of one host says how many searchers it believes to be unreachable or silent. The gauge searchers_in_fault, by fault, does; the check for a host's own fault in gateway_suspects.cpp uses the same count.

Tests: test_gateway passes.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -1,5 +1,6 @@
 #include <skylarkseam/gateway/directory.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkseam {
@@ -170,6 +171,11 @@
     return it == by_service_.end() ? none : it->second;
 }
 
+std::size_t directory::count(searcher_fault fault) const {
+    return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(),
+                                                  [&](const auto& it) { return it.second->fault == fault; }));
+}
+
 bool directory::drained(const known_searcher& it, time_point now) const {
     return it.leaving && now >= *it.leaving + timing_.drain_grace;
 }
--- a/src/skylarkseam/gateway/directory.hpp
+++ b/src/skylarkseam/gateway/directory.hpp
@@ -73,6 +73,8 @@
 
     [[nodiscard]] const std::vector<known_searcher_ptr>& of_service(const std::string& service) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
+    /// Number of searchers with that fault.
+    [[nodiscard]] std::size_t count(searcher_fault fault) const;
     [[nodiscard]] const std::map<std::string, known_searcher_ptr>& all() const { return by_id_; }
     [[nodiscard]] bool drained(const known_searcher& it, time_point now) const;
     [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -105,11 +105,7 @@
 }
 
 bool gateway::may_be_cut_off() const {
-    const auto& all = searchers_.all();
-    const auto unreachable = std::count_if(all.begin(), all.end(), [](const auto& it) {
-        return it.second->fault == searcher_fault::unreachable;
-    });
-    return static_cast<std::size_t>(unreachable) > all.size() / cut_off_divisor;
+    return searchers_.count(searcher_fault::unreachable) > searchers_.size() / cut_off_divisor;
 }
 
 void gateway::record_loss(const attempt& ended, bool accountable, time_point now, output& out) {
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -188,7 +188,13 @@
         metrics_.gauge("open_requests", {}, static_cast<double>(front_.open_requests()));
         metrics_.gauge("configuration_version", {}, static_cast<double>(front_.decisions().table()->version));
         metrics_.gauge("log_lines_left_out", {}, static_cast<double>(log_lines_left_out()));
-        metrics_.gauge("searchers", {}, static_cast<double>(front_.decisions().searchers().size()));
+        const auto& searchers = front_.decisions().searchers();
+        metrics_.gauge("searchers", {}, static_cast<double>(searchers.size()));
+        for (const auto fault : {searcher_fault::silent, searcher_fault::failing, searcher_fault::unreachable,
+                                 searcher_fault::replaced}) {
+            metrics_.gauge("searchers_in_fault", "fault=\"" + std::string(name_of(fault)) + "\"",
+                           static_cast<double>(searchers.count(fault)));
+        }
     }
 
     void on_signal() {
