Add failing tests of clients of hosts that are partitioned from all searchers

Some hosts, or all of a zone, lose their connections to all searchers for seconds while clients, the store and the other hosts still reach them. Their clients are refused although other hosts could serve them.

The tests cut five of eight hosts, or the three of a zone, for 12 s, with connections that hang and ones that are refused, under queries over ten shards and requests that must not run twice.

--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -222,6 +222,7 @@
                                  it.summary.parts,
                                  it.summary.parts_missing,
                                  self.now - request.when,
+                                 self.now,
                                  {},
                                  it.summary.detail};
             if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
@@ -254,6 +255,9 @@
         in_flight_attempt{host, action.id, &target, false, false, false, path, action.searcher});
     in_flight_[(attempt_id{host} << 48U) | action.id] = attempt;
     target.most_open = std::max(target.most_open, ++target.open);
+    if (lose(host, attempt, action)) {
+        return;
+    }
     if (deadly_paths.contains(path)) {
         deadly_sent.push_back({path, host, action.searcher, now});
     }
@@ -366,7 +370,7 @@
 
 void gateway_world::reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                           attempt_result result) {
-    if (std::exchange(attempt->replied, true)) {
+    if (std::exchange(attempt->replied, true) || links[attempt->host] == upstream_links::hanging) {
         return;
     }
     after(link(attempt->host, from), [this, attempt, result = std::move(result)] {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -72,10 +72,18 @@
     std::uint32_t parts = 0;
     std::uint32_t missing = 0;
     duration latency{};
+    time_point answered{};
     duration retry_after{};
     std::string fault; ///< Last fault of an attempt, or the reason of a refusal.
 };
 
+/// What becomes of a host's connections to searchers.
+enum class upstream_links {
+    sound,
+    hanging, ///< Nothing passes; connections do not open, and what is sent is lost after a time.
+    refused, ///< Open connections are reset, and new ones are refused.
+};
+
 class gateway_world {
 public:
     static constexpr duration in_zone = microseconds(200);
@@ -123,6 +131,7 @@
     /// Number of arrivals at a service beyond the first one of each request.
     std::uint64_t extra_arrivals = 0;
 
+    std::map<std::uint32_t, upstream_links> links; ///< By host; sound if absent.
     std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
     duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
     /// Time in which what one host learns of such requests reaches the others; absent if it does not.
@@ -159,6 +168,9 @@
     void check(std::uint32_t host, const gateway_action::check_searcher& action);
     /// Tells the other hosts what one host has learned of requests under which searchers ended.
     void pass_on_suspects(std::uint32_t host);
+    /// Handles an attempt of a host whose links are not sound. Returns false if they are.
+    bool lose(std::uint32_t host, const std::shared_ptr<in_flight_attempt>& attempt,
+              const gateway_action::send& action);
     void for_each_host(const std::function<void(directory& known)>& change);
     void reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                attempt_result result);
@@ -185,6 +197,8 @@
     std::map<request_token, request_record> requests_;
     /// Keyed by host and attempt ID, packed into one value.
     std::map<attempt_id, std::shared_ptr<in_flight_attempt>> in_flight_;
+    /// Hosts and addresses of the searchers whose open connections have been used since the links failed.
+    std::set<std::pair<std::uint32_t, std::string>> kept_connections_;
     std::map<std::string, std::map<std::string, int>> arrivals_; ///< Keyed by service name and request ID.
     std::map<std::string, std::map<std::string, int>> runs_;
     request_token last_token_ = 0;
