--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -24,6 +24,7 @@
     /// Hash of what the client sent except its request ID and the time it waits. A request that a client
     /// repeats has the same fingerprint.
     std::string fingerprint{};
+    bool relayed = false; ///< True if another host passed it on; it is not passed on again.
 };
 
 enum class attempt_outcome {
@@ -74,39 +75,6 @@
     no_answer,
 };
 
-namespace gateway_event {
-struct request_arrived {
-    gateway_request request;
-};
-struct client_disconnected {
-    request_token token = 0;
-};
-/// The attempt waits for a connection to open, and no byte of its request has left this host. This event
-/// directly follows the attempt's `send` action.
-struct attempt_connecting {
-    attempt_id id = 0;
-};
-/// The connection is open and the request is being written.
-struct attempt_sent {
-    attempt_id id = 0;
-};
-struct attempt_ended {
-    attempt_id id = 0;
-    attempt_result result;
-};
-/// The result of a `check_searcher` action.
-struct searcher_checked {
-    attempt_id id = 0;
-    check_result result = check_result::no_answer;
-};
-struct time_passed {};
-} // namespace gateway_event
-
-using gateway_input =
-    std::variant<gateway_event::request_arrived, gateway_event::client_disconnected,
-                 gateway_event::attempt_connecting, gateway_event::attempt_sent, gateway_event::attempt_ended,
-                 gateway_event::searcher_checked, gateway_event::time_passed>;
-
 /// Reason why a request got neither a searcher's answer nor a merged one.
 enum class refusal_reason {
     not_ready, ///< The gateway has no configuration or no list of searchers yet.
@@ -118,6 +86,7 @@
     all_refused, ///< Every searcher that got the request refused it.
     broken,      ///< The request was sent and no usable response came.
     crashes,     ///< Searchers ended under the request, so it is sent to no other.
+    cut_off,     ///< This host reaches no searcher, and no other host has taken the request.
     deadline,    ///< The deadline passed.
     draining,
 };
@@ -138,6 +107,7 @@
     std::uint32_t extra_attempts = 0;
     std::string detail;           ///< Last fault of an attempt.
     std::string missing_services; ///< First few services whose parts are missing, each with its reason.
+    std::string relay;            ///< Address of the host that the request was last passed on to, if any.
 };
 
 namespace gateway_answer {
@@ -151,6 +121,13 @@
     std::uint32_t missing = 0;
     std::string body;
 };
+/// The answer of another host, to which the request was passed on.
+struct relayed {
+    int status = 0;
+    std::string content_type;
+    std::vector<header_field> headers;
+    std::string body;
+};
 struct refused {
     refusal_reason reason = refusal_reason::broken;
     int status = 503;
@@ -158,7 +135,66 @@
 };
 } // namespace gateway_answer
 
-using any_answer = std::variant<gateway_answer::forwarded, gateway_answer::merged, gateway_answer::refused>;
+using any_answer = std::variant<gateway_answer::forwarded, gateway_answer::merged, gateway_answer::relayed,
+                                gateway_answer::refused>;
+
+enum class relay_outcome {
+    answered,
+    declined, ///< The other host does not take requests of others now; the request has not run.
+    not_sent, ///< No byte of the request left this host.
+    lost,     ///< No answer came; the request may have run.
+};
+
+[[nodiscard]] std::string_view name_of(relay_outcome outcome);
+
+/// How it ended that a request was passed on to another host.
+struct relay_result {
+    relay_outcome outcome = relay_outcome::lost;
+    gateway_answer::relayed answer;
+    std::string detail; ///< Description of the fault if there is no answer.
+};
+
+namespace gateway_event {
+struct request_arrived {
+    gateway_request request;
+};
+struct client_disconnected {
+    request_token token = 0;
+};
+/// The attempt waits for a connection to open, and no byte of its request has left this host. This event
+/// directly follows the attempt's `send` action.
+struct attempt_connecting {
+    attempt_id id = 0;
+};
+/// The connection is open and the request is being written.
+struct attempt_sent {
+    attempt_id id = 0;
+};
+struct attempt_ended {
+    attempt_id id = 0;
+    attempt_result result;
+};
+/// The result of a `check_searcher` action.
+struct searcher_checked {
+    attempt_id id = 0;
+    check_result result = check_result::no_answer;
+};
+/// The other host has accepted a request that was passed on to it.
+struct relay_accepted {
+    request_token token = 0;
+};
+struct relay_ended {
+    request_token token = 0;
+    relay_result result;
+};
+struct time_passed {};
+} // namespace gateway_event
+
+using gateway_input =
+    std::variant<gateway_event::request_arrived, gateway_event::client_disconnected,
+                 gateway_event::attempt_connecting, gateway_event::attempt_sent, gateway_event::attempt_ended,
+                 gateway_event::searcher_checked, gateway_event::relay_accepted, gateway_event::relay_ended,
+                 gateway_event::time_passed>;
 
 namespace gateway_action {
 struct send {
@@ -178,6 +214,31 @@
     std::string address;
     duration timeout{};
 };
+/// Passes a request on to another host.
+struct relay {
+    request_token token = 0;
+    std::string address;              ///< Address (ip:port) on which other gateways reach that host.
+    std::uint64_t config_version = 0; ///< Configuration that the other host must have.
+    duration time_left{};
+};
+/// Withdraws a request from the host that it was passed on to. No `relay_ended` event follows.
+struct cancel_relay {
+    request_token token = 0;
+};
+/// Reports that a request was passed on and not answered.
+struct report_relay {
+    std::string request;
+    std::string peer;
+    relay_outcome outcome = relay_outcome::lost;
+    std::string reason;
+};
+/// Reports that this host has lost all searchers, or reaches them again.
+struct report_reach {
+    bool cut_off = false;
+    std::size_t searchers = 0;
+    std::size_t unreachable = 0; ///< Number of searchers believed to be unreachable.
+    std::size_t silent = 0;
+};
 /// Aborts the attempt: its connection is closed, and no `attempt_ended` event follows.
 struct cancel {
     attempt_id id = 0;
@@ -225,7 +286,8 @@
 
 using gateway_output =
     std::variant<gateway_action::send, gateway_action::check_searcher, gateway_action::cancel,
-                 gateway_action::answer, gateway_action::report_retry, gateway_action::report_loss,
-                 gateway_action::report_suspect, gateway_action::report_searcher>;
+                 gateway_action::relay, gateway_action::cancel_relay, gateway_action::answer,
+                 gateway_action::report_retry, gateway_action::report_loss, gateway_action::report_suspect,
+                 gateway_action::report_searcher, gateway_action::report_relay, gateway_action::report_reach>;
 
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -1,5 +1,4 @@
 #include <skylarkseam/gateway/gateway.hpp>
-#include <skylarkseam/gateway/record_merge.hpp>
 
 #include <algorithm>
 
@@ -10,49 +9,15 @@
 /// Percentage of the objective that is reserved in addition to `reply_reserve`.
 constexpr std::int64_t objective_reserve_percent = 8;
 
-// Delays that a refused client is asked to wait before a retry, before jitter is applied.
-/// Time in which a searcher completes a few requests.
-constexpr duration overloaded_retry_after = milliseconds(150);
-/// Upper bound of a delay that is based on the expected wait; the load changes faster than a longer queue is
-/// processed.
-constexpr duration max_wait_retry_after = seconds(1);
-/// About the interval between two probes of a searcher.
-constexpr duration down_retry_after = milliseconds(400);
-/// Duration of the first listing after a start, from another region and with one call that is not answered.
-constexpr duration startup_retry_after = milliseconds(500);
-
 /// Time that a request waits for the gateway to become ready; this covers requests that arrive at the very
 /// end of the startup.
 constexpr duration startup_wait = milliseconds(20);
 /// Maximum number of requests that wait for the gateway to become ready.
 constexpr std::size_t max_startup_requests = 1000;
-/// Short, because another host can answer the retry.
-constexpr duration draining_retry_after = milliseconds(50);
 constexpr std::uint32_t jitter_steps = 64;
 constexpr double min_jitter_factor = 0.75;
 constexpr double jitter_factor_range = 0.75;
 
-constexpr int status_not_found = 404;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_timeout = 504;
-
-duration retry_after_base(refusal_reason reason) {
-    switch (reason) {
-    case refusal_reason::overloaded:
-    case refusal_reason::backing_off:
-    case refusal_reason::all_refused:
-        return overloaded_retry_after;
-    case refusal_reason::shards_down:
-    case refusal_reason::no_searcher:
-        return down_retry_after;
-    case refusal_reason::draining:
-        return draining_retry_after;
-    default:
-        return startup_retry_after;
-    }
-}
-
 struct select_services {
     traffic_split& split;
     double offset;
@@ -74,7 +39,9 @@
                          {it.record.id, it.record.service, std::string(belief), std::string(reason)});
                  })
     , placement_(searchers_, round_trips_, options_.seed)
-    , random_(options_.seed) {}
+    , random_(options_.seed)
+    , reach_random_(options_.seed)
+    , peers_(options_.view.zone, options_.view.region, options_.seed) {}
 
 bool gateway::set_table(std::shared_ptr<const routing_table> table, time_point now, output& out) {
     if (table->version <= table_->version) {
@@ -122,9 +89,14 @@
         void operator()(gateway_event::searcher_checked& it) const {
             self.on_searcher_checked(it.id, it.result, now, out);
         }
+        void operator()(gateway_event::relay_accepted& it) const { self.on_relay_accepted(it.token, now); }
+        void operator()(gateway_event::relay_ended& it) const {
+            self.on_relay_ended(it.token, std::move(it.result), now, out);
+        }
         void operator()(gateway_event::time_passed&) const { self.on_timer(now, out); }
     };
     std::visit(visitor{*this, now, out}, event);
+    check_reach(now, out);
     for (auto& it : pending_reports_) {
         out.emplace_back(std::move(it));
     }
@@ -133,7 +105,7 @@
 
 std::optional<time_point> gateway::next_wakeup() const {
     std::optional<time_point> next = searchers_.next_wakeup();
-    for (const auto& it : {run_timers_.next(), probe_timers_.next()}) {
+    for (const auto& it : {run_timers_.next(), probe_timers_.next(), reach_.next_wakeup()}) {
         if (it && (!next || *it < *next)) {
             next = it;
         }
@@ -162,20 +134,6 @@
     }
 }
 
-void gateway::refuse(const gateway_request& request, refusal_reason reason, output& out) {
-    const bool no_route = reason == refusal_reason::no_route;
-    gateway_action::answer answer;
-    answer.token = request.token;
-    answer.value = gateway_answer::refused{reason, no_route ? status_not_found : status_unavailable,
-                                           no_route ? duration::zero() : jittered(retry_after_base(reason))};
-    answer.summary.id = request.id;
-    answer.summary.fingerprint = request.fingerprint;
-    answer.summary.config_version = table_->version;
-    answer.summary.detail = std::string(name_of(reason));
-    ++counters_.refused;
-    out.emplace_back(std::move(answer));
-}
-
 void gateway::on_request_arrived(const gateway_request& request, time_point now, output& out) {
     ++counters_.requests;
     if (!is_ready()) {
@@ -192,8 +150,15 @@
         refuse(request, refusal_reason::no_route, out);
         return;
     }
-    if (!refuse_if_it_crashes(request, now, out)) {
+    if (refuse_if_it_crashes(request, now, out)) {
+        return;
+    }
+    if (!reach_.cut_off()) {
         start_run(request, *route, now, out);
+    } else if (request.relayed) {
+        refuse(request, refusal_reason::cut_off, out);
+    } else {
+        relay(request, *route, now, out);
     }
 }
 
@@ -203,14 +168,14 @@
     run->token = request.token;
     run->id = request.id;
     run->fingerprint = request.fingerprint;
+    run->relayed = request.relayed;
     run->table = table_;
     run->route = &route;
     run->arrived = now;
     const auto reserve = reply_reserve + route.objective * objective_reserve_percent / 100;
     run->objective_end = now + std::max(route.objective / 2, route.objective - reserve);
     run->wait_deadline = now + route.objective / wait_objective_divisor;
-    const auto time_limit = std::min(route.timeout, request.time_left.value_or(route.timeout));
-    run->deadline = now + std::max(time_limit / 2, time_limit - reply_reserve);
+    run->deadline = deadline_of(request, route, now);
     run->objective_end = std::min(run->objective_end, run->deadline);
     make_parts(*run, now);
     runs_[request.token] = run;
@@ -220,6 +185,11 @@
     finish_if_ready(run, now, out);
 }
 
+time_point gateway::deadline_of(const gateway_request& request, const gateway_route& route, time_point now) {
+    const auto time_limit = std::min(route.timeout, request.time_left.value_or(route.timeout));
+    return now + std::max(time_limit / 2, time_limit - reply_reserve);
+}
+
 void gateway::make_parts(request_run& run, time_point now) {
     const double offset = static_cast<double>(random_(jitter_steps)) / jitter_steps;
     const select_services select{traffic_splits_[run.route->name], offset};
@@ -234,6 +204,9 @@
 
 void gateway::on_client_disconnected(request_token token, time_point now, output& out) {
     std::erase_if(startup_queue_, [token](const auto& it) { return it.request.token == token; });
+    if (relays_.erase(token) > 0) {
+        out.emplace_back(gateway_action::cancel_relay{token});
+    }
     const auto found = runs_.find(token);
     if (found == runs_.end()) {
         return;
@@ -261,6 +234,7 @@
     while (const auto token = run_timers_.pop_due(now)) {
         const auto found = runs_.find(*token);
         if (found == runs_.end()) {
+            on_relay_timer(*token, now, out);
             continue;
         }
         const auto run = found->second;
@@ -271,6 +245,7 @@
                 part.state = part_state::failed;
                 part.reason = refusal_reason::overloaded;
             } else if (part.state == part_state::sent) {
+                note_silence(part, now);
                 send_hedge(run, n, now, out);
             }
         }
@@ -292,96 +267,6 @@
     }
 }
 
-void gateway::finish_if_ready(const run_ptr& run, time_point now, output& out) {
-    if (!runs_.contains(run->token)) {
-        return;
-    }
-    continue_deferred_parts(run, now, out);
-    const bool open = std::any_of(run->parts.begin(), run->parts.end(), [](const auto& it) {
-        return it.state == part_state::waiting || it.state == part_state::deferred ||
-               (it.state == part_state::sent && !it.probing);
-    });
-    if (!open && run->count(part_state::refused) > 0) {
-        resolve_refused_parts(run, now, out);
-        finish_if_ready(run, now, out);
-        return;
-    }
-    const auto answered = run->count(part_state::answered);
-    const auto required = run->required_parts();
-    const bool deadline_passed = now >= run->deadline;
-    if (answered < required) {
-        if (run->answerable() < required) {
-            const auto failed = std::find_if(run->parts.begin(), run->parts.end(),
-                                             [](const auto& it) { return it.state == part_state::failed; });
-            const auto reason = failed == run->parts.end() ? refusal_reason::all_refused : failed->reason;
-            finish(run, failure_of(*run, reason), now, out);
-        } else if (deadline_passed) {
-            finish(run, failure_of(*run, refusal_reason::deadline), now, out);
-        }
-        return;
-    }
-    if (open && now < run->objective_end && !deadline_passed) {
-        return;
-    }
-    if (run->shards() == nullptr) {
-        finish(run, gateway_answer::forwarded{std::move(run->parts.front().response)}, now, out);
-        return;
-    }
-    gateway_answer::merged merged;
-    std::vector<std::string_view> bodies;
-    for (const auto& it : run->parts) {
-        if (it.state == part_state::answered) {
-            merged.proofs.push_back(it.response.proof);
-            bodies.emplace_back(it.response.body);
-        }
-    }
-    merged.missing = static_cast<std::uint32_t>(run->parts.size() - answered);
-    merged.body = greatest_records(bodies, run->shards()->result_limit);
-    finish(run, std::move(merged), now, out);
-}
-
-any_answer gateway::failure_of(const request_run& run, refusal_reason reason) {
-    const auto& first = run.parts.front();
-    if (run.shards() == nullptr && first.has_response) {
-        return gateway_answer::forwarded{first.response};
-    }
-    if (run.may_have_run()) {
-        const bool timed_out = reason == refusal_reason::deadline;
-        return gateway_answer::refused{reason, timed_out ? status_timeout : status_bad_gateway,
-                                       duration::zero()};
-    }
-    const auto delay = std::max(retry_after_base(reason), std::min(run.expected_wait, max_wait_retry_after));
-    // The jitter never brings a client back before the searchers take requests again.
-    return gateway_answer::refused{reason, status_unavailable,
-                                   std::max(jittered(delay), run.searchers_back_in + jittered(delay) / 2)};
-}
-
-void gateway::finish(const run_ptr& run, any_answer value, time_point now, output& out) {
-    if (std::holds_alternative<gateway_answer::refused>(value)) {
-        ++counters_.refused;
-    } else if (run->count(part_state::answered) == run->parts.size()) {
-        ++counters_.whole;
-    } else {
-        ++counters_.partial;
-    }
-    runs_.erase(run->token);
-    out.emplace_back(gateway_action::answer{run->token, std::move(value), run->summary(now)});
-    end_attempts_of_run(*run, now, out);
-}
-
-void gateway::end_attempts_of_run(request_run& run, time_point now, output& out) {
-    for (auto& part : run.parts) {
-        const bool had_open = !part.open.empty();
-        if (part.state == part_state::waiting) {
-            wait_lists_[part.service].remove(run.token);
-        }
-        end_attempts_of_part(part, true, now, out);
-        if (had_open) {
-            dispatch_waiting(part.service, now, out);
-        }
-    }
-}
-
 duration gateway::jittered(duration base) {
     const double factor = min_jitter_factor + jitter_factor_range * random_(jitter_steps) / jitter_steps;
     return duration(static_cast<std::int64_t>(static_cast<double>(base.count()) * factor));
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -8,11 +8,14 @@
 #include <skylarkseam/gateway/directory.hpp>
 #include <skylarkseam/gateway/extra_budget.hpp>
 #include <skylarkseam/gateway/placement.hpp>
+#include <skylarkseam/gateway/relay_peers.hpp>
 #include <skylarkseam/gateway/request_run.hpp>
 #include <skylarkseam/gateway/traffic_split.hpp>
+#include <skylarkseam/gateway/upstream_reach.hpp>
 #include <skylarkseam/gateway/wait_list.hpp>
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace skylarkseam {
 
@@ -39,6 +42,7 @@
     std::uint64_t rate_limits = 0;       ///< Searchers that began to state a rate limit.
     std::uint64_t searcher_checks = 0;   ///< Checks whether a searcher accepts connections.
     std::uint64_t crash_refusals = 0;    ///< Requests refused because searchers ended under them.
+    std::uint64_t relayed = 0;           ///< Times that a request was passed on to another host.
 };
 
 /// Invariants: each request gets exactly one answer unless its client disconnects. A request that is answered
@@ -70,6 +74,12 @@
 
     void handle(gateway_input event, time_point now, output& out);
 
+    /// Sets the other gateways that take requests while this host reaches no searcher.
+    void set_peers(std::vector<relay_peer> peers);
+    /// Whether this host takes a request of another one that knows `config_version`.
+    [[nodiscard]] bool takes_relays(std::uint64_t config_version) const;
+    [[nodiscard]] const upstream_reach& reach() const { return reach_; }
+
     [[nodiscard]] const crash_suspects& suspects() const { return suspects_; }
     /// Takes over what other hosts report of requests under which searchers ended.
     void merge_suspects(const std::vector<suspect_report>& reports, time_point now, output& out);
@@ -92,6 +102,25 @@
         std::string fingerprint;
     };
     using run_ptr = std::shared_ptr<request_run>;
+    /// A request that was passed on to another host.
+    struct relayed_request {
+        std::string id;
+        std::string fingerprint;
+        std::shared_ptr<const routing_table> table;
+        const gateway_route* route = nullptr;
+        time_point arrived{};
+        time_point deadline{};
+        std::vector<std::string> tried; ///< Addresses of the hosts that got it
+        std::string peer;               ///< The last of them
+        time_point retry_at{};          ///< Time from which another host may get it too
+        std::uint32_t lost = 0;         ///< Number of hosts that have not answered
+        bool sent_here = false;         ///< Whether a searcher may have got it from this host
+        bool accepted = false;          ///< Whether the last host has accepted it
+        /// Answer of a host that had no room for it.
+        std::optional<gateway_answer::relayed> refusal{};
+
+        [[nodiscard]] bool may_have_run() const { return sent_here || accepted || lost > 0; }
+    };
 
     [[nodiscard]] bool is_ready() const { return listing_complete_ && table_->version > 0; }
     void on_request_arrived(const gateway_request& request, time_point now, output& out);
@@ -171,9 +200,32 @@
     /// Whether so many searchers are unreachable that this host's own network is the likelier fault.
     [[nodiscard]] bool may_be_cut_off() const;
 
+    /// Notes if the part's last attempt has been open for longer than usual.
+    void note_silence(const request_part& part, time_point now);
+    /// Checks whether this host reaches searchers, if that is due.
+    void check_reach(time_point now, output& out);
+    void take_reach_check(attempt_id id, check_result result, time_point now, output& out);
+    void relay(const gateway_request& request, const gateway_route& route, time_point now, output& out);
+    /// Passes on what is open when this host loses the searchers, as far as it may run again.
+    void relay_open_runs(time_point now, output& out);
+    /// Returns false if the retry budget does not allow to send the request again.
+    bool spend_for_relay(const request_run& run, time_point now);
+    /// Passes a request on to the next host, or refuses it.
+    void relay_on(request_token token, time_point now, output& out);
+    void refuse_relay(request_token token, time_point now, output& out);
+    void answer_relay(request_token token, any_answer value, time_point now, output& out);
+    void on_relay_accepted(request_token token, time_point now);
+    void on_relay_ended(request_token token, relay_result result, time_point now, output& out);
+    void on_relay_timer(request_token token, time_point now, output& out);
+
     /// Answers the request if it is complete or its time is up.
     void finish_if_ready(const run_ptr& run, time_point now, output& out);
     void finish(const run_ptr& run, any_answer value, time_point now, output& out);
+    /// Delay after which a refused client is asked to return, before jitter is applied.
+    [[nodiscard]] static duration retry_after_base(refusal_reason reason);
+    /// Time by which a request has to be answered.
+    [[nodiscard]] static time_point deadline_of(const gateway_request& request, const gateway_route& route,
+                                                time_point now);
     [[nodiscard]] any_answer failure_of(const request_run& run, refusal_reason reason);
     void end_attempts_of_run(request_run& run, time_point now, output& out);
     void end_attempts_of_part(request_part& part, bool keep_as_probes, time_point now, output& out);
@@ -202,6 +254,11 @@
     std::unordered_map<attempt_id, attempt> attempts_;
     crash_suspects suspects_;
     std::unordered_map<attempt_id, known_searcher_ptr> checks_; ///< Searchers that are being checked.
+    upstream_reach reach_;
+    std::unordered_set<attempt_id> reach_checks_; ///< Checks of `reach_`.
+    pcg32 reach_random_;                          ///< Chooses the searchers of these checks.
+    relay_peers peers_;
+    std::unordered_map<request_token, relayed_request> relays_;
     attempt_id last_attempt_id_ = 0;
     timer_heap<request_token> run_timers_;
     timer_heap<attempt_id> probe_timers_;
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -72,9 +72,7 @@
     it.probing = choice.probe && it.open.empty();
     it.tried.push_back(choice.target.get());
     it.open.push_back({id, choice.target, now, hedge_at, true, suspected});
-    if (run->route->repeat == repeatability::idempotent) {
-        run_timers_.add(hedge_at, run->token);
-    }
+    run_timers_.add(hedge_at, run->token);
     ++run->attempts;
     ++counters_.attempts;
     const auto time_left = std::max(duration(milliseconds(1)), run->deadline - now);
@@ -181,9 +179,11 @@
     record_announcements(it, result, now);
     if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::refused) {
         suspects_.note_alive(it, ended.sent);
+        reach_.note_answer(now);
     }
     if (result.connect_time) {
         round_trips_.add(it.record.zone, *result.connect_time);
+        reach_.note_connected(now);
     }
     switch (result.outcome) {
     case attempt_outcome::answered: {
@@ -210,6 +210,7 @@
         break;
     case attempt_outcome::not_sent:
         it.on_failure(searcher_fault::unreachable, now);
+        reach_.note_connect_failure(now);
         if (result.connection_refused && !may_be_cut_off()) {
             on_searcher_ended(it, now, out);
         }
--- /dev/null
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -0,0 +1,265 @@
+// Requests of a host that reaches no searcher: they are passed on to another gateway, which answers them as
+// its own clients' requests. A request that may have run here or there is passed on again only if it may run
+// twice.
+#include <skylarkseam/gateway/gateway.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+/// Number of gateways that are asked to take one request at most. Most of them may be cut off as well, and
+/// decline within a round trip.
+constexpr std::size_t max_relay_tries = 8;
+/// Number of gateways that may run one request.
+constexpr std::uint32_t max_relay_runs = 2;
+/// Time in which the other gateway has to accept the request; a round trip between regions and a busy host.
+constexpr duration accept_time = milliseconds(250);
+/// Time after which an accepted request that may run twice is passed on once more. Its gateway may have ended
+/// without a word.
+constexpr duration relay_retry_after = seconds(1);
+constexpr duration check_timeout = milliseconds(100);
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+
+} // namespace
+
+void gateway::set_peers(std::vector<relay_peer> peers) {
+    peers_.set(std::move(peers));
+}
+
+bool gateway::takes_relays(std::uint64_t config_version) const {
+    return is_ready() && !reach_.cut_off() && table_->version >= config_version;
+}
+
+void gateway::note_silence(const request_part& part, time_point now) {
+    if (!part.open.empty() && now >= part.open.back().hedge_at) {
+        reach_.note_silence(part.open.back().sent);
+    }
+}
+
+void gateway::check_reach(time_point now, output& out) {
+    const auto due = reach_.checks_due(now);
+    if (due == 0) {
+        return;
+    }
+    // Searchers of several zones, so that the end of a whole zone does not look like a cut of this host.
+    std::map<std::string, std::vector<known_searcher_ptr>> by_zone;
+    for (const auto& [id, it] : searchers_.all()) {
+        if (it->registered && !it->leaving) {
+            by_zone[it->record.zone].push_back(it);
+        }
+    }
+    std::vector<known_searcher_ptr> chosen;
+    while (chosen.size() < due && !by_zone.empty()) {
+        for (auto zone = by_zone.begin(); zone != by_zone.end() && chosen.size() < due;) {
+            auto& list = zone->second;
+            const auto at = reach_random_(static_cast<std::uint32_t>(list.size()));
+            chosen.push_back(list[at]);
+            list.erase(list.begin() + at);
+            zone = list.empty() ? by_zone.erase(zone) : std::next(zone);
+        }
+    }
+    reach_.begin_round(chosen.size(), now);
+    for (const auto& it : chosen) {
+        const auto id = ++last_attempt_id_;
+        reach_checks_.insert(id);
+        ++counters_.searcher_checks;
+        out.emplace_back(gateway_action::check_searcher{id, it->record.address,
+                                                        std::max(check_timeout, round_trips_.to(*it) * 4)});
+    }
+}
+
+void gateway::take_reach_check(attempt_id id, check_result result, time_point now, output& out) {
+    if (reach_checks_.erase(id) == 0) {
+        return;
+    }
+    if (!reach_.take_check(result == check_result::accepted, now)) {
+        check_reach(now, out);
+        return;
+    }
+    out.emplace_back(gateway_action::report_reach{reach_.cut_off(), searchers_.size(),
+                                                  searchers_.count(searcher_fault::unreachable),
+                                                  searchers_.count(searcher_fault::silent)});
+    if (reach_.cut_off()) {
+        relay_open_runs(now, out);
+    } else {
+        // What was believed of the searchers was this host's own fault.
+        for (const auto& [id_of, it] : searchers_.all()) {
+            if (it->fault == searcher_fault::unreachable || it->fault == searcher_fault::silent) {
+                it->forget_fault();
+            }
+        }
+    }
+}
+
+void gateway::relay(const gateway_request& request, const gateway_route& route, time_point now, output& out) {
+    relayed_request it;
+    it.id = request.id;
+    it.fingerprint = request.fingerprint;
+    it.table = table_;
+    it.route = &route;
+    it.arrived = now;
+    it.deadline = deadline_of(request, route, now);
+    relays_[request.token] = std::move(it);
+    run_timers_.add(relays_[request.token].deadline, request.token);
+    relay_on(request.token, now, out);
+}
+
+void gateway::relay_open_runs(time_point now, output& out) {
+    std::vector<run_ptr> runs;
+    for (const auto& [token, run] : runs_) {
+        const bool idempotent = run->route->repeat == repeatability::idempotent;
+        const bool answered = run->count(part_state::answered) >= run->required_parts();
+        if (!run->relayed && !answered && now < run->deadline && (idempotent || !run->may_have_run())) {
+            runs.push_back(run);
+        }
+    }
+    for (const auto& run : runs) {
+        if (!spend_for_relay(*run, now)) {
+            continue;
+        }
+        relayed_request it;
+        it.id = run->id;
+        it.fingerprint = run->fingerprint;
+        it.table = run->table;
+        it.route = run->route;
+        it.arrived = run->arrived;
+        it.deadline = run->deadline;
+        it.sent_here = run->may_have_run();
+        runs_.erase(run->token);
+        for (auto& part : run->parts) {
+            if (part.state == part_state::waiting) {
+                wait_lists_[part.service].remove(run->token);
+            }
+            end_attempts_of_part(part, false, now, out);
+        }
+        relays_[run->token] = std::move(it);
+        relay_on(run->token, now, out);
+    }
+}
+
+bool gateway::spend_for_relay(const request_run& run, time_point now) {
+    return std::all_of(run.parts.begin(), run.parts.end(), [&](const auto& it) {
+        const bool was_sent = it.tried.size() > it.failed_connections;
+        return !was_sent || budgets_[it.service].try_spend(options_.extra, hosts_.total, now);
+    });
+}
+
+void gateway::relay_on(request_token token, time_point now, output& out) {
+    auto& it = relays_.at(token);
+    const bool may_send = it.tried.size() < max_relay_tries && now < it.deadline;
+    const auto peer = may_send ? peers_.pick(it.tried, it.route->home_regions, now) : std::nullopt;
+    if (!peer) {
+        refuse_relay(token, now, out);
+        return;
+    }
+    it.peer = peer->address;
+    it.accepted = false;
+    it.tried.push_back(peer->address);
+    it.retry_at = now + accept_time;
+    ++counters_.relayed;
+    run_timers_.add(it.retry_at, token);
+    out.emplace_back(gateway_action::relay{token, peer->address, it.table->version, it.deadline - now});
+}
+
+void gateway::refuse_relay(request_token token, time_point now, output& out) {
+    auto& it = relays_.at(token);
+    ++counters_.refused;
+    if (it.may_have_run()) {
+        const int status = now >= it.deadline ? status_timeout : status_bad_gateway;
+        answer_relay(token, gateway_answer::refused{refusal_reason::cut_off, status, duration::zero()}, now,
+                     out);
+    } else if (it.refusal) {
+        answer_relay(token, std::move(*it.refusal), now, out);
+    } else {
+        const auto delay = jittered(retry_after_base(refusal_reason::cut_off));
+        answer_relay(token, gateway_answer::refused{refusal_reason::cut_off, status_unavailable, delay}, now,
+                     out);
+    }
+}
+
+void gateway::answer_relay(request_token token, any_answer value, time_point now, output& out) {
+    const auto found = relays_.find(token);
+    const auto& it = found->second;
+    gateway_action::answer answer;
+    answer.token = token;
+    answer.value = std::move(value);
+    answer.summary.id = it.id;
+    answer.summary.fingerprint = it.fingerprint;
+    answer.summary.route = it.route->name;
+    answer.summary.config_version = it.table->version;
+    answer.summary.elapsed = now - it.arrived;
+    answer.summary.objective = it.route->objective;
+    answer.summary.relay = it.peer;
+    answer.summary.detail = std::string(name_of(refusal_reason::cut_off));
+    out.emplace_back(std::move(answer));
+    relays_.erase(found);
+}
+
+void gateway::on_relay_accepted(request_token token, time_point now) {
+    const auto found = relays_.find(token);
+    if (found == relays_.end()) {
+        return;
+    }
+    auto& it = found->second;
+    it.accepted = true;
+    it.retry_at = now + relay_retry_after;
+    run_timers_.add(it.retry_at, token);
+}
+
+void gateway::on_relay_ended(request_token token, relay_result result, time_point now, output& out) {
+    const auto found = relays_.find(token);
+    if (found == relays_.end()) {
+        return;
+    }
+    auto& it = found->second;
+    switch (result.outcome) {
+    case relay_outcome::answered:
+        peers_.note_answered(it.peer, now);
+        if (result.answer.status != status_unavailable || it.refusal) {
+            answer_relay(token, std::move(result.answer), now, out);
+            return;
+        }
+        it.accepted = false; // The host had no room; the request has not run there.
+        it.refusal = std::move(result.answer);
+        break;
+    case relay_outcome::declined:
+        peers_.note_declined(it.peer, now);
+        break;
+    case relay_outcome::not_sent:
+        peers_.note_lost(it.peer, now);
+        break;
+    case relay_outcome::lost:
+        peers_.note_lost(it.peer, now);
+        ++it.lost;
+        break;
+    }
+    out.emplace_back(gateway_action::report_relay{it.id, it.peer, result.outcome, result.detail});
+    const bool idempotent = it.route->repeat == repeatability::idempotent;
+    if (it.may_have_run() && (!idempotent || it.lost >= max_relay_runs)) {
+        refuse_relay(token, now, out);
+        return;
+    }
+    relay_on(token, now, out);
+}
+
+void gateway::on_relay_timer(request_token token, time_point now, output& out) {
+    const auto found = relays_.find(token);
+    if (found == relays_.end()) {
+        return;
+    }
+    auto& it = found->second;
+    const bool idempotent = it.route->repeat == repeatability::idempotent;
+    if (now >= it.deadline) {
+        out.emplace_back(gateway_action::cancel_relay{token});
+        ++it.lost;
+        refuse_relay(token, now, out);
+    } else if (idempotent && now >= it.retry_at && it.lost < max_relay_runs) {
+        out.emplace_back(gateway_action::cancel_relay{token});
+        on_relay_ended(token, {relay_outcome::lost, {}, "no answer in time"}, now, out);
+    }
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -126,6 +126,7 @@
 void gateway::on_searcher_checked(attempt_id id, check_result result, time_point now, output& out) {
     const auto found = checks_.find(id);
     if (found == checks_.end()) {
+        take_reach_check(id, result, now, out);
         return;
     }
     const auto target = found->second;
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -127,6 +127,13 @@
     probe_at = now + probe_interval;
 }
 
+void known_searcher::forget_fault() {
+    fault = searcher_fault::none;
+    failure_rate = std::min(failure_rate, recovered_failure_rate);
+    consecutive_failures = 0;
+    probe_interval = duration::zero();
+}
+
 bool known_searcher::on_leaving_announced(time_point now) {
     if (announced_leaving) {
         return false;
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -111,6 +111,8 @@
                    time_point now);
     void on_refused(time_point now);
     void on_failure(searcher_fault kind, time_point now);
+    /// Forgets the fault, which was not the searcher's.
+    void forget_fault();
     /// Handles the searcher's own announcement that it leaves. Returns false if that was known.
     bool on_leaving_announced(time_point now);
     /// Handles a refusal in which the searcher asked for no requests for `time`. A later end that was already
--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -227,6 +227,15 @@
     });
 }
 
+std::vector<gateway_identity> peer_group::members() const {
+    std::vector<gateway_identity> out;
+    out.reserve(members_.size());
+    for (const auto& [name, it] : members_) {
+        out.push_back(it.who);
+    }
+    return out;
+}
+
 std::uint32_t peer_group::own_zone_hosts() const {
     std::uint32_t n = 1;
     for (const auto& [name, it] : members_) {
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -112,6 +112,8 @@
     /// \param knows_members  whether the follower has had an answer from this process before
     [[nodiscard]] group_view view_for_follower(const gateway_identity& follower, bool knows_members,
                                                time_point now);
+    /// The other gateways that are known.
+    [[nodiscard]] std::vector<gateway_identity> members() const;
     /// Number of known gateways in each zone.
     [[nodiscard]] std::map<std::string, std::uint32_t> hosts_by_zone() const;
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -40,12 +40,24 @@
     named_value<refusal_reason>{refusal_reason::all_refused, "all_refused"},
     named_value<refusal_reason>{refusal_reason::broken, "broken"},
     named_value<refusal_reason>{refusal_reason::crashes, "crashes_searchers"},
+    named_value<refusal_reason>{refusal_reason::cut_off, "cut_off"},
     named_value<refusal_reason>{refusal_reason::deadline, "deadline"},
     named_value<refusal_reason>{refusal_reason::draining, "draining"},
 }};
 
+constexpr name_table relay_outcome_names{std::array{
+    named_value<relay_outcome>{relay_outcome::answered, "answered"},
+    named_value<relay_outcome>{relay_outcome::declined, "declined"},
+    named_value<relay_outcome>{relay_outcome::not_sent, "not_sent"},
+    named_value<relay_outcome>{relay_outcome::lost, "lost"},
+}};
+
 } // namespace
 
+std::string_view name_of(relay_outcome outcome) {
+    return relay_outcome_names.name_of(outcome);
+}
+
 std::string_view name_of(attempt_outcome outcome) {
     return outcome_names.name_of(outcome);
 }
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -68,6 +68,7 @@
     duration searchers_back_in{};
     time_point deadline{};
     std::uint32_t losses = 0; ///< Number of attempts that lost their connections.
+    bool relayed = false;     ///< True if another host passed the request on.
     /// True once a searcher has answered, so the request does not crash each searcher that runs it.
     bool harmless = false;
     std::vector<request_part> parts;
--- /dev/null
+++ b/src/skylarkseam/gateway/upstream_reach.cpp
@@ -0,0 +1,106 @@
+#include <skylarkseam/gateway/upstream_reach.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+/// Number of searchers that are checked in a round. They belong to several zones, if there are several.
+constexpr std::size_t checks_in_round = 4;
+/// The same while the host is cut off, to find out when that ends.
+constexpr std::size_t checks_while_cut_off = 2;
+/// Rounds in which every check has to fail before the host counts as cut off. While many searchers are down,
+/// a single round may meet only such ones.
+constexpr std::uint32_t rounds_to_cut_off = 2;
+/// Shortest time between the beginnings of two rounds.
+constexpr duration round_interval = milliseconds(500);
+/// Shortest time from a check that succeeded until a round for which refused requests are the only reason.
+constexpr duration refusal_interval = seconds(2);
+constexpr duration round_interval_cut_off = milliseconds(250);
+/// Connections that fail in a row before a round begins; single searchers that end are no reason.
+constexpr std::uint32_t failures_before_round = 3;
+/// Time after which a failure to connect does not count any more.
+constexpr duration failure_memory = seconds(2);
+
+} // namespace
+
+void upstream_reach::note_connected(time_point now) {
+    last_answer_ = now;
+    connect_failures_ = 0;
+    suspected_ = false;
+}
+
+void upstream_reach::note_connect_failure(time_point now) {
+    if (now - last_connect_failure_ > failure_memory) {
+        connect_failures_ = 0;
+    }
+    last_connect_failure_ = now;
+    suspected_ = ++connect_failures_ >= failures_before_round || suspected_;
+}
+
+std::size_t upstream_reach::checks_due(time_point now) const {
+    if (open_checks_ > 0) {
+        return 0;
+    }
+    if (cut_off()) {
+        return now - round_began_ >= round_interval_cut_off ? checks_while_cut_off : 0;
+    }
+    const auto due = round_due();
+    return due && now >= *due ? checks_in_round : 0;
+}
+
+std::optional<time_point> upstream_reach::round_due() const {
+    if (failed_rounds_ > 0) {
+        return round_began_;
+    }
+    if (suspected_) {
+        return round_began_ + round_interval;
+    }
+    return refused_ ? std::optional(std::max(round_began_ + round_interval, last_success_ + refusal_interval))
+                    : std::nullopt;
+}
+
+void upstream_reach::begin_round(std::size_t checks, time_point now) {
+    round_began_ = now;
+    open_checks_ = checks;
+    accepted_in_round_ = false;
+    suspected_ = false;
+    refused_ = false;
+}
+
+bool upstream_reach::take_check(bool accepted, time_point now) {
+    if (open_checks_ == 0) {
+        return false;
+    }
+    --open_checks_;
+    accepted_in_round_ = accepted_in_round_ || accepted;
+    if (accepted) {
+        failed_rounds_ = 0;
+        last_success_ = now;
+        note_connected(now);
+        return set_state(reach_state::sound, now);
+    }
+    if (open_checks_ > 0 || accepted_in_round_ || ++failed_rounds_ < rounds_to_cut_off) {
+        return false;
+    }
+    failed_rounds_ = 0;
+    return set_state(reach_state::cut_off, now);
+}
+
+bool upstream_reach::set_state(reach_state state, time_point now) {
+    if (state == state_) {
+        return false;
+    }
+    state_ = state;
+    changed_at_ = now;
+    return true;
+}
+
+std::optional<time_point> upstream_reach::next_wakeup() const {
+    if (open_checks_ > 0) {
+        return std::nullopt;
+    }
+    return cut_off() ? round_began_ + round_interval_cut_off : round_due();
+}
+
+} // namespace skylarkseam
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -3,6 +3,12 @@
 #include <skylarkseam/shell/request_forwarding.hpp>
 
 namespace skylarkseam {
+namespace {
+
+/// Marks the tokens of requests of other gateways; the HTTP server counts its own from 1.
+constexpr request_token relayed_mark = request_token{1} << 63U;
+
+} // namespace
 
 gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
                              std::size_t answer_limit, gateway_options options,
@@ -41,6 +47,56 @@
     deliver(gateway_event::request_arrived{std::move(event)});
 }
 
+relay_handlers gateway_front::relay_side() {
+    relay_handlers out;
+    out.deliver = [this](gateway_input event) { deliver(std::move(event)); };
+    out.decline_reason = [this](const relay_request& request) -> std::optional<std::string> {
+        if (draining_) {
+            return "draining";
+        }
+        if (!gateway_.takes_relays(request.config_version)) {
+            return gateway_.reach().cut_off() ? "cut_off" : "not_ready";
+        }
+        return std::nullopt;
+    };
+    out.take = [this](relay_request request, respond answer) {
+        return take_relayed(std::move(request), std::move(answer));
+    };
+    out.withdraw = [this](request_token token) { withdraw(token); };
+    return out;
+}
+
+request_token gateway_front::take_relayed(relay_request request, respond answer) {
+    const auto token = relayed_mark | ++last_relayed_;
+    incoming_request incoming;
+    incoming.id = token;
+    incoming.method = std::move(request.method);
+    incoming.target = std::move(request.target);
+    incoming.path = std::move(request.path);
+    incoming.body = std::move(request.body);
+    for (auto& it : request.headers) {
+        incoming.headers.push_back({std::move(it.name), std::move(it.value)});
+    }
+    auto event = to_gateway_request(incoming, binding_.dialect);
+    event.time_left = request.time_left;
+    event.relayed = true;
+    open_[token] = {std::move(incoming), std::move(answer), loop_.now()};
+    ++relayed_open_;
+    deliver(gateway_event::request_arrived{std::move(event)});
+    return token;
+}
+
+void gateway_front::withdraw(request_token token) {
+    forget(token);
+    deliver(gateway_event::client_disconnected{token});
+}
+
+void gateway_front::forget(request_token token) {
+    if (open_.erase(token) > 0 && (token & relayed_mark) != 0) {
+        --relayed_open_;
+    }
+}
+
 void gateway_front::deliver(gateway_input event) {
     events_.push_back(std::move(event));
     if (delivering_) {
@@ -66,6 +122,24 @@
             self.checks_.start(it.id, it.address, it.timeout);
         }
         void operator()(gateway_action::cancel& it) const { self.pool_.cancel(it.id); }
+        void operator()(gateway_action::relay& it) const {
+            const auto found = self.open_.find(it.token);
+            if (found != self.open_.end()) {
+                self.relay_->send(it, found->second.request);
+            }
+        }
+        void operator()(gateway_action::cancel_relay& it) const { self.relay_->cancel(it.token); }
+        void operator()(gateway_action::report_relay& it) const {
+            log_event(log_level::info, "relay_failed",
+                      {{"request", it.request},
+                       {"peer", it.peer},
+                       {"outcome", name_of(it.outcome)},
+                       {"reason", it.reason}});
+        }
+        void operator()(gateway_action::report_reach& it) const {
+            log_event(log_level::warning, it.cut_off ? "searchers_lost" : "searchers_regained",
+                      {{"searchers", it.searchers}, {"unreachable", it.unreachable}, {"silent", it.silent}});
+        }
         void operator()(gateway_action::answer& it) const { self.answer(it); }
         void operator()(gateway_action::report_retry& it) const {
             log_event(log_level::info, "again",
@@ -134,7 +208,7 @@
         return;
     }
     auto open = std::move(found->second);
-    open_.erase(found);
+    forget(action.token);
     duration retry_after{};
     if (const auto* const refused = std::get_if<gateway_answer::refused>(&action.value)) {
         retry_after = refused->retry_after;
@@ -165,6 +239,7 @@
                {"missing_services", it.missing_services},
                {"attempts", it.attempts},
                {"extra", it.extra_attempts},
+               {"relay", it.relay},
                {"retry_after_ms", static_cast<std::uint64_t>(to_ms(retry_after))},
                {"fault", it.detail}});
 }
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -7,6 +7,7 @@
 #include <skylarkseam/shell/http_server.hpp>
 #include <skylarkseam/shell/metrics.hpp>
 #include <skylarkseam/shell/platform_binding.hpp>
+#include <skylarkseam/shell/relay_runner.hpp>
 #include <skylarkseam/shell/upstream_pool.hpp>
 #include <skylarkseam/shell/wakeup_timer.hpp>
 
@@ -25,6 +26,11 @@
                   std::size_t answer_limit, gateway_options options, std::function<duration()> knowledge_age,
                   suspect_handler on_suspect, metrics& measured);
 
+    /// Sets what passes requests on to other gateways; to be called once, before the first request.
+    void use_relay(relay_runner& relay) { relay_ = &relay; }
+    /// How requests of other gateways are taken.
+    [[nodiscard]] relay_handlers relay_side();
+
     std::string listen(const std::string& address) { return server_.listen(address); }
 
     /// From now on every answer ends its connection.
@@ -44,8 +50,8 @@
 
     [[nodiscard]] gateway& decisions() { return gateway_; }
     [[nodiscard]] const upstream_pool_counters& pool() const { return pool_.counters(); }
-    /// Requests whose answers have not been written whole.
-    [[nodiscard]] std::size_t open_requests() const { return server_.open_requests(); }
+    /// Requests whose answers have not been written whole, those of other gateways included.
+    [[nodiscard]] std::size_t open_requests() const { return server_.open_requests() + relayed_open_; }
     [[nodiscard]] std::uint64_t rejected() const { return server_.rejected(); }
 
 private:
@@ -56,6 +62,10 @@
     };
 
     void take(incoming_request request, respond answer);
+    request_token take_relayed(relay_request request, respond answer);
+    void withdraw(request_token token);
+    /// Removes an open request.
+    void forget(request_token token);
     /// Queues an event and handles all that are queued; events that arise meanwhile wait their turn.
     void deliver(gateway_input event);
     void perform(std::vector<gateway_output> actions);
@@ -75,6 +85,9 @@
     wakeup_timer timer_;
     std::unordered_map<request_token, open_request> open_;
     std::deque<gateway_input> events_;
+    relay_runner* relay_ = nullptr;
+    request_token last_relayed_ = 0;
+    std::size_t relayed_open_ = 0; ///< Open requests of other gateways.
     bool delivering_ = false;
     bool draining_ = false;
 };
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -61,7 +61,10 @@
               [this] { return unfit(); })
         , knowledge_(loop_, binding_, settings.platform_url, timing_of(*settings.gateway),
                      peer_limits_of(settings.limits), std::random_device{}(),
-                     census_of(settings, loop_.now()), handlers()) {}
+                     census_of(settings, loop_.now()), handlers())
+        , relay_(knowledge_.peers_out(), knowledge_.peers_in(), front_.relay_side()) {
+        front_.use_relay(relay_);
+    }
 
     int run() {
         write_logs_by(loop_);
@@ -75,6 +78,7 @@
         const auto admin = admin_.listen(settings_.listen.admin);
         log_event(log_level::info, "start",
                   {{"callers", callers}, {"readiness", ready}, {"admin", admin}, {"zone", settings_.zone}});
+        relay_.start();
         admin_.add_section("knowledge", [this] { return knowledge_.state_json(); });
         knowledge_.start(settings_.name, settings_.zone, settings_.listen.peers, peer_seeds(),
                          settings_.gateway->first_start);
@@ -124,6 +128,7 @@
         };
         out.suspects.known = [this]() -> const crash_suspects& { return front_.decisions().suspects(); };
         out.suspects.merge = [this](const auto& reports) { front_.merge_suspects(reports); };
+        out.on_members = [this](const auto& members) { take_members(members); };
         out.on_hosts = [this](const host_counts& hosts) {
             front_.decisions().set_hosts(hosts);
             log_event(log_level::info, "hosts",
@@ -145,6 +150,16 @@
         });
     }
 
+    void take_members(const std::vector<gateway_identity>& members) {
+        std::vector<relay_peer> peers;
+        for (const auto& it : members) {
+            const auto region = settings_.gateway->region_of_zone.find(it.zone);
+            const bool known = region != settings_.gateway->region_of_zone.end();
+            peers.push_back({it.address, it.zone, known ? region->second : std::string()});
+        }
+        front_.decisions().set_peers(std::move(peers));
+    }
+
     void take_table(std::shared_ptr<const routing_table> table) {
         const auto version = table->version;
         const auto routes = table->routes.size();
@@ -177,6 +192,8 @@
         metrics_.gauge("searcher_rate_limits", {}, static_cast<double>(counters.rate_limits));
         metrics_.gauge("searcher_checks", {}, static_cast<double>(counters.searcher_checks));
         metrics_.gauge("crash_refusals", {}, static_cast<double>(counters.crash_refusals));
+        metrics_.gauge("requests_relayed", {}, static_cast<double>(counters.relayed));
+        metrics_.gauge("cut_off_from_searchers", {}, front_.decisions().reach().cut_off() ? 1.0 : 0.0);
         metrics_.gauge("suspected_requests", {}, static_cast<double>(front_.decisions().suspects().size()));
         metrics_.gauge("refused_requests", {},
                        static_cast<double>(front_.decisions().suspects().refused(loop_.now())));
@@ -266,6 +283,7 @@
     http_server readiness_;
     admin_service admin_;
     knowledge_runner knowledge_;
+    relay_runner relay_;
     bool complete_ = false; ///< every searcher's registration is known
     bool draining_ = false;
     bool listening_ = true; ///< for clients
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -99,6 +99,10 @@
     const bool alone = watch && hosts_.zones > 1 && group_->followed().empty();
     suspect_store_.set_duty({watch, alone});
     census_.update(group_->hosts_by_zone(), now);
+    if (auto members = group_->members(); members != members_) {
+        members_ = std::move(members);
+        handlers_.on_members(members_);
+    }
     const auto hosts = census_.counts(now);
     if (hosts != hosts_) {
         hosts_ = hosts;
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -22,6 +22,8 @@
     std::function<void(const std::set<std::string>& zones)> on_evacuations;
     std::function<void(std::shared_ptr<const routing_table> table)> on_routing;
     std::function<void(const host_counts& hosts)> on_hosts;
+    /// The other gateways that are known: all of this zone and at least the first of each other one.
+    std::function<void(const std::vector<gateway_identity>& members)> on_members;
     /// The store returned from an older copy; what it says in the next seconds may be outdated.
     std::function<void()> on_store_restored;
     std::function<void()> on_complete; ///< every registration is known; called once
@@ -42,6 +44,10 @@
     /// Other gateways follow somebody else from now on.
     void leave();
 
+    /// What other messages between gateways use.
+    [[nodiscard]] peer_client& peers_out() { return client_; }
+    [[nodiscard]] peer_server& peers_in() { return server_; }
+
     /// More is known of a request that crashes searchers.
     /// \param found_here  whether this gateway found it out itself
     void note_suspect(const std::string& fingerprint, bool found_here);
@@ -97,6 +103,7 @@
     std::uint64_t last_poll_id_ = 0;
     host_census census_;
     host_counts hosts_;
+    std::vector<gateway_identity> members_;
     bool watching_ = false;
     bool complete_ = false;
 };
--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -149,6 +149,17 @@
         return out;
     }
 
+    outgoing_response operator()(gateway_answer::relayed& it) const {
+        outgoing_response out;
+        out.status = it.status;
+        out.content_type = std::move(it.content_type);
+        out.body = std::move(it.body);
+        for (auto& header : it.headers) {
+            out.headers.push_back({std::move(header.name), std::move(header.value)});
+        }
+        return out;
+    }
+
     outgoing_response operator()(gateway_answer::refused& it) const {
         outgoing_response out;
         out.status = it.status;
--- /dev/null
+++ b/src/skylarkseam/wire/relay_codec.cpp
@@ -0,0 +1,95 @@
+#include <skylarkseam/wire/msgpack_message.hpp>
+#include <skylarkseam/wire/relay_codec.hpp>
+
+#include <algorithm>
+
+namespace skylarkseam {
+namespace {
+
+constexpr std::uint32_t request_fields = 7;
+constexpr std::uint32_t decision_fields = 2;
+constexpr std::uint32_t answer_fields = 4;
+constexpr std::uint32_t header_fields = 2;
+
+void pack_headers(packer& to, const std::vector<header_field>& headers) {
+    pack_list(to, headers, [&](const header_field& it) {
+        to.pack_array(header_fields);
+        to.pack(it.name);
+        to.pack(it.value);
+    });
+}
+
+std::vector<header_field> read_headers(field_reader& from) {
+    return read_list(from.next_object(), header_fields, [](field_reader& reader) {
+        header_field it;
+        reader.read_into(it.name);
+        reader.read_into(it.value);
+        return it;
+    });
+}
+
+} // namespace
+
+std::string encode(const relay_request& request) {
+    return encode_message(request_fields, [&](packer& to) {
+        to.pack(request.config_version);
+        to.pack(request.time_left.count());
+        to.pack(request.method);
+        to.pack(request.target);
+        to.pack(request.path);
+        pack_headers(to, request.headers);
+        to.pack(request.body);
+    });
+}
+
+std::string encode(const relay_decision& decision) {
+    return encode_message(decision_fields, [&](packer& to) {
+        to.pack(decision.accepted);
+        to.pack(decision.reason);
+    });
+}
+
+std::string encode(const gateway_answer::relayed& answer) {
+    return encode_message(answer_fields, [&](packer& to) {
+        to.pack(answer.status);
+        to.pack(answer.content_type);
+        pack_headers(to, answer.headers);
+        to.pack(answer.body);
+    });
+}
+
+result<relay_request> decode_relay_request(std::string_view bytes) {
+    return decode_message<relay_request>(bytes, request_fields, [](field_reader& from) {
+        relay_request it;
+        from.read_into(it.config_version);
+        it.time_left = std::max(duration::zero(), from.next_duration());
+        from.read_into(it.method);
+        from.read_into(it.target);
+        from.read_into(it.path);
+        it.headers = read_headers(from);
+        from.read_into(it.body);
+        return it;
+    });
+}
+
+result<relay_decision> decode_relay_decision(std::string_view bytes) {
+    return decode_message<relay_decision>(bytes, decision_fields, [](field_reader& from) {
+        relay_decision it;
+        from.read_into(it.accepted);
+        from.read_into(it.reason);
+        return it;
+    });
+}
+
+result<gateway_answer::relayed> decode_relayed_answer(std::string_view bytes) {
+    return decode_message<gateway_answer::relayed>(bytes, answer_fields, [](field_reader& from) {
+        gateway_answer::relayed it;
+        from.read_into(it.status);
+        from.read_into(it.content_type);
+        it.headers = read_headers(from);
+        from.read_into(it.body);
+        return it;
+    });
+}
+
+} // namespace skylarkseam
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -23,6 +23,10 @@
 
 } // namespace
 
+std::string region_of(const std::string& zone) {
+    return regions().at(zone);
+}
+
 gateway_route shard_route(const std::vector<std::string>& services, double min_share) {
     gateway_route route;
     route.name = "search";
@@ -92,6 +96,7 @@
 }
 
 void gateway_world::publish() {
+    introduce_hosts();
     table_->version += 1;
     const auto table = std::make_shared<routing_table>(*table_);
     for (std::uint32_t n = 0; n < hosts.size(); ++n) {
@@ -204,6 +209,10 @@
         std::uint32_t host;
         void operator()(const gateway_action::send& it) const { self.send(host, it); }
         void operator()(const gateway_action::check_searcher& it) const { self.check(host, it); }
+        void operator()(const gateway_action::relay& it) const { self.relay(host, it); }
+        void operator()(const gateway_action::cancel_relay& it) const { self.cancel_relay(host, it.token); }
+        void operator()(const gateway_action::report_relay&) const {}
+        void operator()(const gateway_action::report_reach&) const {}
         void operator()(const gateway_action::cancel& it) const {
             const auto key = (attempt_id{host} << 48U) | it.id;
             const auto found = self.in_flight_.find(key);
@@ -228,10 +237,15 @@
             if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
                 result.status = refused->status;
                 result.retry_after = refused->retry_after;
+            } else if (const auto* const relayed = std::get_if<gateway_answer::relayed>(&it.value)) {
+                result.status = relayed->status;
+                result.missing = static_cast<std::uint32_t>(relayed->body.size()); // See answer_relay().
             } else if (const auto* const forwarded = std::get_if<gateway_answer::forwarded>(&it.value)) {
                 result.status = forwarded->response.status;
             }
-            self.results.push_back(result);
+            if (!self.answer_relay(host, it.token, result)) {
+                self.results.push_back(result);
+            }
         }
         void operator()(const gateway_action::report_retry&) const {}
         void operator()(const gateway_action::report_loss&) const {}
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -132,6 +132,7 @@
     std::uint64_t extra_arrivals = 0;
 
     std::map<std::uint32_t, upstream_links> links; ///< By host; sound if absent.
+    std::set<std::uint32_t> still;                 ///< Hosts that handle no request of another host.
     std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
     duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
     /// Time in which what one host learns of such requests reaches the others; absent if it does not.
@@ -171,6 +172,12 @@
     /// Handles an attempt of a host whose links are not sound. Returns false if they are.
     bool lose(std::uint32_t host, const std::shared_ptr<in_flight_attempt>& attempt,
               const gateway_action::send& action);
+    void relay(std::uint32_t host, const gateway_action::relay& action);
+    void cancel_relay(std::uint32_t host, request_token token);
+    /// Hands an answer on to the host that passed the request on. Returns false for a client's request.
+    bool answer_relay(std::uint32_t host, request_token token, const client_result& result);
+    void introduce_hosts();
+    [[nodiscard]] duration between(std::uint32_t host, std::uint32_t other) const;
     void for_each_host(const std::function<void(directory& known)>& change);
     void reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                attempt_result result);
@@ -201,10 +208,19 @@
     std::set<std::pair<std::uint32_t, std::string>> kept_connections_;
     std::map<std::string, std::map<std::string, int>> arrivals_; ///< Keyed by service name and request ID.
     std::map<std::string, std::map<std::string, int>> runs_;
+    struct relayed_from {
+        std::uint32_t host = 0;
+        request_token token = 0;
+        std::uint32_t at = 0; ///< Host that got the request
+    };
+    std::map<request_token, relayed_from> relayed_; ///< By token at the host that got the request
     request_token last_token_ = 0;
     std::uint64_t last_load_request_ = 0;
 };
 
+/// Region of a zone.
+[[nodiscard]] std::string region_of(const std::string& zone);
+
 /// Routes over shards or to a single service, with the objective and timeout of the users' helpline search.
 [[nodiscard]] gateway_route shard_route(const std::vector<std::string>& services, double min_share = 0.75);
 [[nodiscard]] gateway_route single_route(const std::string& service, repeatability repeat);
--- a/tests/gateway/host_links.cpp
+++ b/tests/gateway/host_links.cpp
@@ -38,4 +38,85 @@
     return true;
 }
 
+duration gateway_world::between(std::uint32_t host, std::uint32_t other) const {
+    return host_zones_[host] == host_zones_[other] ? in_zone : cross_region;
+}
+
+void gateway_world::introduce_hosts() {
+    for (std::uint32_t n = 0; n < hosts.size(); ++n) {
+        std::vector<relay_peer> peers;
+        std::set<std::string> others;
+        for (std::uint32_t other = 0; other < hosts.size(); ++other) {
+            // Of another zone a host knows the first one.
+            const auto& zone = host_zones_[other];
+            if (other != n && (zone == host_zones_[n] || others.insert(zone).second)) {
+                peers.push_back({"host-" + std::to_string(other), zone, region_of(zone)});
+            }
+        }
+        hosts[n]->set_peers(std::move(peers));
+    }
+}
+
+void gateway_world::relay(std::uint32_t host, const gateway_action::relay& action) {
+    const auto to =
+        static_cast<std::uint32_t>(std::stoul(action.address.substr(action.address.find('-') + 1)));
+    const auto way = between(host, to);
+    const auto token = ++last_token_;
+    relayed_[token] = {host, action.token, to};
+    after(way, [this, host, to, way, token, action] {
+        if (!relayed_.contains(token) || still.contains(to)) {
+            return;
+        }
+        if (!hosts[to]->takes_relays(action.config_version)) {
+            relayed_.erase(token);
+            after(way, [this, host, action] {
+                handle(host, gateway_event::relay_ended{action.token, {relay_outcome::declined, {}, {}}});
+            });
+            return;
+        }
+        after(way, [this, host, action] { handle(host, gateway_event::relay_accepted{action.token}); });
+        gateway_request request;
+        const auto& origin = requests_.at(action.token);
+        request.token = token;
+        request.id = origin.id;
+        request.host = "search.example";
+        request.path = origin.path;
+        request.time_left = action.time_left;
+        request.fingerprint = origin.path;
+        request.relayed = true;
+        requests_[token] = {origin.id, origin.path, now};
+        handle(to, gateway_event::request_arrived{request});
+    });
+}
+
+void gateway_world::cancel_relay(std::uint32_t host, request_token token) {
+    for (auto it = relayed_.begin(); it != relayed_.end();) {
+        const auto relayed = *it;
+        if (relayed.second.host != host || relayed.second.token != token) {
+            ++it;
+            continue;
+        }
+        it = relayed_.erase(it);
+        after(between(host, relayed.second.at),
+              [this, relayed] { disconnect(relayed.first, relayed.second.at); });
+    }
+}
+
+bool gateway_world::answer_relay(std::uint32_t host, request_token token, const client_result& result) {
+    const auto found = relayed_.find(token);
+    if (found == relayed_.end()) {
+        return false;
+    }
+    const auto origin = found->second;
+    relayed_.erase(found);
+    relay_result answer;
+    answer.outcome = relay_outcome::answered;
+    answer.answer.status = result.status;
+    answer.answer.body = std::string(result.missing, 'm'); // As many bytes as parts are missing.
+    after(between(host, origin.host), [this, origin, answer] {
+        handle(origin.host, gateway_event::relay_ended{origin.token, answer});
+    });
+    return true;
+}
+
 } // namespace skylarkseam::testing
--- a/tests/gateway/searcher_crashes.cpp
+++ b/tests/gateway/searcher_crashes.cpp
@@ -37,10 +37,18 @@
 void gateway_world::check(std::uint32_t host, const gateway_action::check_searcher& action) {
     const auto& target = *by_address_.at(action.address);
     const auto way = link(host, target);
-    after(way, [this, host, way, id = action.id, &target] {
-        const auto result = target.ended ? check_result::refused : check_result::accepted;
-        after(way, [this, host, id, result] { handle(host, gateway_event::searcher_checked{id, result}); });
-    });
+    const auto finish = [this, host, id = action.id](duration delay, check_result result) {
+        after(delay, [this, host, id, result] { handle(host, gateway_event::searcher_checked{id, result}); });
+    };
+    if (links[host] == upstream_links::hanging || target.behaviour.unreachable) {
+        finish(action.timeout, check_result::no_answer);
+    } else if (links[host] == upstream_links::refused) {
+        finish(2 * way, check_result::refused);
+    } else {
+        after(way, [finish, way, &target] {
+            finish(way, target.ended ? check_result::refused : check_result::accepted);
+        });
+    }
 }
 
 void gateway_world::pass_on_suspects(std::uint32_t host) {
--- a/tests/gateway/stranded_hosts_test.cpp
+++ b/tests/gateway/stranded_hosts_test.cpp
@@ -21,12 +21,16 @@
 };
 
 struct partition_fixture {
-    gateway_world world{8};
+    gateway_world world;
     std::set<std::uint32_t> cut;
     time_point cut_at{};
     duration adapted_after = time_to_adapt;
 
-    partition_fixture() {
+    partition_fixture()
+        : partition_fixture(8) {}
+
+    explicit partition_fixture(std::uint32_t hosts)
+        : world(hosts) {
         std::vector<std::string> names;
         for (int n = 0; n < 10; ++n) {
             names.push_back("shard-" + std::to_string(n));
@@ -79,8 +83,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(clients_of_hosts_without_a_searcher, partition_fixture,
-                         *boost::unit_test::label("known_red") * boost::unit_test::disabled())
+BOOST_FIXTURE_TEST_SUITE(clients_of_hosts_without_a_searcher, partition_fixture)
 
 BOOST_AUTO_TEST_CASE(are_served_far_worse_if_most_hosts_hang) {
     play({0, 1, 3, 4, 6}, upstream_links::hanging);
@@ -103,3 +106,147 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(clients_of_many_hosts_without_a_searcher)
+
+BOOST_AUTO_TEST_CASE(are_served_far_worse_if_the_hosts_beside_them_are_cut_off_too) {
+    for (const auto state : {upstream_links::hanging, upstream_links::refused}) {
+        partition_fixture it(45);
+        std::set<std::uint32_t> zone;
+        for (std::uint32_t host = 0; host < 45; host += 3) {
+            zone.insert(host);
+        }
+        it.play(zone, state);
+        it.check();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(are_served_far_worse_if_most_hosts_are_cut_off) {
+    for (const auto state : {upstream_links::hanging, upstream_links::refused}) {
+        partition_fixture it(45);
+        std::set<std::uint32_t> most;
+        for (std::uint32_t host = 0; host < 45; ++host) {
+            if (host * 7 % 10 < 6) {
+                most.insert(host);
+            }
+        }
+        it.play(most, state);
+        it.check();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_request_that_is_passed_on, partition_fixture)
+
+BOOST_AUTO_TEST_CASE(runs_at_most_once_if_it_must_not_run_twice) {
+    play({0, 1, 3, 4, 6}, upstream_links::hanging);
+    for (const auto& [id, runs] : world.runs_of("desk")) {
+        BOOST_TEST(runs <= 1, id);
+    }
+    std::set<std::string> ran;
+    for (const auto& [id, runs] : world.runs_of("desk")) {
+        ran.insert(id);
+    }
+    for (const auto& it : world.results) {
+        if (it.status == 503 && it.path.starts_with("/audit/")) {
+            BOOST_TEST(!ran.contains(it.id), it.id);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_at_once_if_no_host_reaches_a_searcher) {
+    play({0, 1, 2, 3, 4, 5, 6, 7}, upstream_links::refused);
+    std::size_t refused = 0;
+    for (const auto& it : world.results) {
+        const auto arrived = it.answered - it.latency;
+        if (arrived < cut_at + seconds(1) || arrived > cut_at + cut_time - seconds(1)) {
+            continue;
+        }
+        BOOST_TEST(it.status == 503);
+        BOOST_TEST((it.latency < milliseconds(250)));
+        BOOST_TEST((it.retry_after > duration::zero()));
+        ++refused;
+    }
+    BOOST_TEST(refused > 500U);
+}
+
+BOOST_AUTO_TEST_CASE(ends_with_its_client) {
+    world.work = seconds(2);
+    world.links[0] = upstream_links::hanging;
+    world.load("/search/x", 100.0, seconds(2));
+    world.run_for(seconds(2));
+    BOOST_TEST(world.hosts[0]->reach().cut_off());
+    world.run_for(seconds(6));
+    const auto token = world.send_request("/audit/leaves", 0);
+    world.run_for(milliseconds(100));
+    BOOST_TEST(world.hosts[3]->open_requests() + world.hosts[6]->open_requests() == 1U);
+    world.disconnect(token, 0);
+    world.run_for(milliseconds(100));
+    BOOST_TEST(world.hosts[3]->open_requests() + world.hosts[6]->open_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_given_to_a_host_with_an_older_configuration) {
+    gateway_world other{2};
+    BOOST_TEST(!other.hosts[0]->takes_relays(0)); // It knows no configuration yet.
+    other.add_service("desk", 4, {"a"});
+    other.add_route(single_route("desk", repeatability::idempotent));
+    other.publish();
+    BOOST_TEST(other.hosts[0]->takes_relays(1));
+    BOOST_TEST(!other.hosts[0]->takes_relays(2));
+}
+
+BOOST_AUTO_TEST_CASE(is_passed_on_again_if_the_other_host_stands_still) {
+    world.links[0] = upstream_links::hanging;
+    world.load("/search/x", 100.0, seconds(2));
+    world.run_for(seconds(4));
+    BOOST_TEST_REQUIRE(world.hosts[0]->reach().cut_off());
+    world.still.insert(3);
+    world.results.clear();
+    for (int n = 0; n < 20; ++n) {
+        world.send_request("/search/y/" + std::to_string(n), 0);
+    }
+    world.run_for(seconds(3));
+    BOOST_TEST(world.results.size() == 20U);
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status == 200, it.path);
+        BOOST_TEST((it.latency < milliseconds(600)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_host_that_reaches_searchers, partition_fixture)
+
+BOOST_AUTO_TEST_CASE(serves_its_clients_itself_again) {
+    play({0, 3, 6}, upstream_links::hanging);
+    for (const auto host : cut) {
+        BOOST_TEST(!world.hosts[host]->reach().cut_off());
+        BOOST_TEST(world.hosts[host]->searchers().count(searcher_fault::unreachable) == 0U);
+    }
+    const auto relayed = world.hosts[0]->counters().relayed;
+    world.results.clear();
+    world.load("/search/z", 180.0, seconds(4));
+    world.run_for(seconds(6));
+    BOOST_TEST(world.hosts[0]->counters().relayed == relayed);
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status == 200, it.path);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(passes_nothing_on_while_the_searchers_of_a_zone_are_down) {
+    world.load("/search/x", 180.0, seconds(12));
+    world.load("/audit/x", 45.0, seconds(12));
+    world.run_for(seconds(2));
+    for (auto& [service, list] : world.searchers) {
+        for (auto& it : list) {
+            it->behaviour.unreachable = it->record.zone == "a";
+        }
+    }
+    world.run_for(seconds(12));
+    for (const auto& it : world.hosts) {
+        BOOST_TEST(it->counters().relayed == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/shell/relay_runner_test.cpp
@@ -0,0 +1,176 @@
+// Two gateways on loopback, one of which reaches no searcher: its clients' requests go to the other one.
+#include "scripted_server.hpp"
+
+#include <skylarkseam/shell/gateway_front.hpp>
+#include <skylarkseam/shell/http_client.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <tests/shell/loop_fixture.hpp>
+
+using namespace skylarkseam;
+
+namespace {
+
+std::string unused_address() {
+    const int fd = open_listener("127.0.0.1:0");
+    auto address = bound_address(fd);
+    ::close(fd);
+    return address;
+}
+
+platform_binding names() {
+    platform_binding out;
+    out.dialect.request_id = "x-id";
+    out.dialect.time_left = "x-left";
+    out.dialect.expected_id = "x-for";
+    out.dialect.not_run = "x-not-run";
+    out.dialect.proof = "x-proof";
+    return out;
+}
+
+/// One gateway with the ends of its streams to the others.
+struct gateway_side {
+    platform_binding binding = names();
+    metrics measured;
+    gateway_front front;
+    peer_client out;
+    peer_server in;
+    relay_runner relay;
+    std::string address;
+    std::string peer_address;
+
+    gateway_side(event_loop& loop, const std::string& searcher, std::uint64_t version)
+        : front(
+              loop, binding, {1U << 20U, 8192, 64, 64}, 1U << 20U,
+              {{"a", "north", {{"a", "north"}}}, {}, {}, 1}, [] { return duration::zero(); },
+              [](const auto&) {}, measured)
+        , out(loop, {})
+        , in(loop, {})
+        , relay(out, in, front.relay_side())
+        , address(front.listen("127.0.0.1:0"))
+        , peer_address(in.listen("127.0.0.1:0")) {
+        front.use_relay(relay);
+        relay.start();
+        auto table = std::make_shared<routing_table>();
+        table->version = version;
+        table->services["desk"] = {"desk", 8, 0.0};
+        gateway_route route;
+        route.name = "r";
+        route.host = "127.0.0.1";
+        route.prefix = "/";
+        route.repeat = repeatability::at_most_once;
+        route.timeout = seconds(2);
+        route.objective = seconds(1);
+        route.max_attempts = 2;
+        route.plan = single_service{"desk"};
+        table->routes.push_back(route);
+        front.set_table(table);
+        front.update([&](directory& it) {
+            it.put({"i-1", "desk", searcher, "a", 4, false, {}, 1}, loop.now());
+        });
+        front.set_listing_complete();
+    }
+};
+
+struct relay_fixture : loop_fixture {
+    std::vector<std::string> runs;
+    std::string answer =
+        "HTTP/1.1 201 Made\r\nContent-Length: 5\r\nX-Proof: p\r\nContent-Type: a/b\r\n\r\nhello";
+    scripted_server searcher{loop, [this](const std::string& request) {
+                                 runs.push_back(request);
+                                 return scripted_server::reply{answer};
+                             }};
+    gateway_side cut{loop, unused_address(), 3};
+    gateway_side sound{loop, searcher.address, 3};
+    http_client client{loop};
+
+    relay_fixture() { cut.front.decisions().set_peers({{sound.peer_address, "a", "north"}}); }
+
+    http_request request(const std::string& id) const {
+        http_request out;
+        out.method = "POST";
+        out.url = "http://" + cut.address + "/x?y=%2f";
+        out.headers = {"X-Id: " + id, "X-Left: 1500", "X-Kept: as it is"};
+        out.body = std::string("\0body", 5);
+        return out;
+    }
+
+    http_response fetch(const std::string& id) {
+        http_response response;
+        client.send(request(id), [&](const http_response& it) { response = it; });
+        BOOST_REQUIRE(run_until([&] { return response.status != 0; }));
+        return response;
+    }
+
+    void lose_searchers() {
+        // Requests that cannot be sent show it.
+        for (int n = 0; n < 20 && !cut.front.decisions().reach().cut_off(); ++n) {
+            BOOST_TEST(fetch("before").status == 503);
+            run_turns(5);
+        }
+        BOOST_REQUIRE(cut.front.decisions().reach().cut_off());
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_gateway_that_reaches_no_searcher, relay_fixture)
+
+BOOST_AUTO_TEST_CASE(passes_requests_on_and_their_answers_back_unchanged) {
+    lose_searchers();
+    const auto response = fetch("q7");
+    BOOST_TEST(response.status == 201);
+    BOOST_TEST(response.body == "hello");
+    BOOST_TEST(response.header("x-proof") == "p");
+    BOOST_TEST(response.header("content-type") == "a/b");
+    BOOST_TEST_REQUIRE(runs.size() == 1U);
+    BOOST_TEST(runs[0].starts_with("POST /x?y=%2f HTTP/1.1\r\n"));
+    BOOST_TEST(runs[0].find("x-id: q7\r\n") != std::string::npos);
+    BOOST_TEST(runs[0].find("x-kept: as it is\r\n") != std::string::npos);
+    BOOST_TEST(runs[0].ends_with(std::string("\0body", 5)));
+    const auto at = runs[0].find("x-left: ");
+    const auto left = std::stoi(runs[0].substr(at + 8));
+    BOOST_TEST(left > 1000);
+    BOOST_TEST(left <= 1500);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_if_the_other_one_is_stopping_or_knows_an_older_configuration) {
+    lose_searchers();
+    sound.front.drain();
+    const auto response = fetch("q8");
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(!response.header("retry-after").empty());
+
+    gateway_side older(loop, searcher.address, 2);
+    cut.front.decisions().set_peers({{older.peer_address, "a", "north"}});
+    BOOST_TEST(fetch("q9").status == 503);
+    BOOST_TEST(runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(withdraws_a_request_whose_client_has_gone) {
+    lose_searchers();
+    answer.clear(); // The searcher does not answer.
+    const auto id = client.send(request("q10"), [](const http_response&) {});
+    BOOST_REQUIRE(run_until([&] { return runs.size() == 1; }));
+    BOOST_TEST(sound.front.open_requests() == 1U);
+    client.abort(id);
+    BOOST_TEST(run_until([&] { return sound.front.decisions().open_requests() == 0; }));
+    BOOST_TEST(run_until([&] { return sound.front.open_requests() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(tells_that_the_outcome_is_unknown_if_the_other_one_ends) {
+    lose_searchers();
+    answer.clear();
+    auto other = std::make_unique<gateway_side>(loop, searcher.address, 3);
+    cut.front.decisions().set_peers({{other->peer_address, "a", "north"}});
+    http_response response;
+    client.send(request("q11"), [&](const http_response& it) { response = it; });
+    BOOST_REQUIRE(run_until([&] { return runs.size() == 1; }));
+    run_turns(5);
+    other.reset();
+    BOOST_REQUIRE(run_until([&] { return response.status != 0; }));
+    BOOST_TEST(response.status == 502);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/wire/relay_codec_test.cpp
@@ -0,0 +1,66 @@
+// Requests and answers that gateways pass on are unchanged after encoding and decoding, and corrupted bytes
+// are decoded or rejected without a crash.
+#include <skylarkseam/wire/relay_codec.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <pcg_random.hpp>
+
+using namespace skylarkseam;
+
+namespace {
+
+relay_request sample() {
+    relay_request it;
+    it.config_version = 7;
+    it.time_left = milliseconds(1480);
+    it.method = "POST";
+    it.target = "/a/b?x=%2f";
+    it.path = "/a/b";
+    it.headers = {{"host", "a.example"}, {"x-empty", ""}};
+    it.body = std::string("\0\xff binary", 9);
+    return it;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(requests_passed_on_to_another_gateway)
+
+BOOST_AUTO_TEST_CASE(are_unchanged_after_decoding) {
+    const auto in = sample();
+    const auto out = decode_relay_request(encode(in));
+    BOOST_TEST_REQUIRE(out.has_value());
+    BOOST_TEST(out.value().config_version == 7U);
+    BOOST_TEST((out.value().time_left == milliseconds(1480)));
+    BOOST_TEST(out.value().method == in.method);
+    BOOST_TEST(out.value().target == in.target);
+    BOOST_TEST(out.value().path == in.path);
+    BOOST_TEST(out.value().headers.at(1).name == "x-empty");
+    BOOST_TEST(out.value().body == in.body);
+
+    const auto decision = decode_relay_decision(encode(relay_decision{false, "draining"}));
+    BOOST_TEST(!decision.value().accepted);
+    BOOST_TEST(decision.value().reason == "draining");
+
+    const auto answer = decode_relayed_answer(
+        encode(gateway_answer::relayed{503, "text/plain", {{"Retry-After", "1"}}, "no"}));
+    BOOST_TEST(answer.value().status == 503);
+    BOOST_TEST(answer.value().content_type == "text/plain");
+    BOOST_TEST(answer.value().headers.at(0).value == "1");
+    BOOST_TEST(answer.value().body == "no");
+}
+
+BOOST_AUTO_TEST_CASE(are_rejected_or_decoded_when_corrupted) {
+    const auto bytes = encode(sample());
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        BOOST_TEST(!decode_relay_request(std::string_view(bytes).substr(0, n)).has_value());
+    }
+    pcg32 random(7);
+    for (int n = 0; n < 2000; ++n) {
+        auto changed = bytes;
+        changed[random(static_cast<std::uint32_t>(changed.size()))] = static_cast<char>(random(256));
+        static_cast<void>(decode_relay_request(changed));
+        static_cast<void>(decode_relayed_answer(changed));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
