Keep to the route's number of searchers when a request is passed on

A request that had been accepted by another host was passed on once more after a second, and one that was open at the cut came with the full number of attempts although some were spent here.

Change: a host passes on how many searchers may still get the request; an accepted one is not given to a third host. If the other host ends, the client of a request that may run twice gets 502 and may repeat it.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -25,6 +25,8 @@
     /// repeats has the same fingerprint.
     std::string fingerprint{};
     bool relayed = false; ///< True if another host passed it on; it is not passed on again.
+    /// Number of searchers that may get it; the route's number if absent.
+    std::optional<std::uint32_t> max_attempts{};
 };
 
 enum class attempt_outcome {
@@ -219,6 +221,7 @@
     request_token token = 0;
     std::string address;              ///< Address (ip:port) on which other gateways reach that host.
     std::uint64_t config_version = 0; ///< Configuration that the other host must have.
+    std::uint32_t max_attempts = 1;   ///< Number of searchers that may get it from the other host.
     duration time_left{};
 };
 /// Withdraws a request from the host that it was passed on to. No `relay_ended` event follows.
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -110,12 +110,13 @@
         const gateway_route* route = nullptr;
         time_point arrived{};
         time_point deadline{};
-        std::vector<std::string> tried; ///< Addresses of the hosts that got it
-        std::string peer;               ///< The last of them
-        time_point retry_at{};          ///< Time from which another host may get it too
-        std::uint32_t lost = 0;         ///< Number of hosts that have not answered
-        bool sent_here = false;         ///< Whether a searcher may have got it from this host
-        bool accepted = false;          ///< Whether the last host has accepted it
+        std::vector<std::string> tried;  ///< Addresses of the hosts that got it
+        std::string peer;                ///< The last of them
+        time_point retry_at{};           ///< Time by which the last host has to accept it
+        std::uint32_t attempts_left = 1; ///< Number of searchers that may still get it
+        std::uint32_t lost = 0;          ///< Number of hosts that have not answered
+        bool sent_here = false;          ///< Whether a searcher may have got it from this host
+        bool accepted = false;           ///< Whether the last host has accepted it
         /// Answer of a host that had no room for it.
         std::optional<gateway_answer::relayed> refusal{};
 
@@ -208,13 +209,15 @@
     void relay(const gateway_request& request, const gateway_route& route, time_point now, output& out);
     /// Passes on what is open when this host loses the searchers, as far as it may run again.
     void relay_open_runs(time_point now, output& out);
+    /// Number of searchers that may still get each part.
+    [[nodiscard]] static std::uint32_t attempts_left(const request_run& run);
     /// Returns false if the retry budget does not allow to send the request again.
     bool spend_for_relay(const request_run& run, time_point now);
     /// Passes a request on to the next host, or refuses it.
     void relay_on(request_token token, time_point now, output& out);
     void refuse_relay(request_token token, time_point now, output& out);
     void answer_relay(request_token token, any_answer value, time_point now, output& out);
-    void on_relay_accepted(request_token token, time_point now);
+    void on_relay_accepted(request_token token);
     void on_relay_ended(request_token token, relay_result result, time_point now, output& out);
     void on_relay_timer(request_token token, time_point now, output& out);
 
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -90,7 +90,7 @@
 }
 
 bool gateway::may_retry(const request_run& run, const request_part& part) const {
-    return part.tried.size() - part.failed_connections < run.route->max_attempts &&
+    return part.tried.size() - part.failed_connections < run.max_attempts &&
            part.failed_connections <= max_failed_connections;
 }
 
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -11,13 +11,8 @@
 /// Number of gateways that are asked to take one request at most. Most of them may be cut off as well, and
 /// decline within a round trip.
 constexpr std::size_t max_relay_tries = 8;
-/// Number of gateways that may run one request.
-constexpr std::uint32_t max_relay_runs = 2;
 /// Time in which the other gateway has to accept the request; a round trip between regions and a busy host.
 constexpr duration accept_time = milliseconds(250);
-/// Time after which an accepted request that may run twice is passed on once more. Its gateway may have ended
-/// without a word.
-constexpr duration relay_retry_after = seconds(1);
 constexpr duration check_timeout = milliseconds(100);
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -102,6 +97,7 @@
     it.route = &route;
     it.arrived = now;
     it.deadline = deadline_of(request, route, now);
+    it.attempts_left = route.max_attempts;
     relays_[request.token] = std::move(it);
     run_timers_.add(relays_[request.token].deadline, request.token);
     relay_on(request.token, now, out);
@@ -112,7 +108,8 @@
     for (const auto& [token, run] : runs_) {
         const bool idempotent = run->route->repeat == repeatability::idempotent;
         const bool answered = run->count(part_state::answered) >= run->required_parts();
-        if (!run->relayed && !answered && now < run->deadline && (idempotent || !run->may_have_run())) {
+        if (!run->relayed && !answered && attempts_left(*run) > 0 && now < run->deadline &&
+            (idempotent || !run->may_have_run())) {
             runs.push_back(run);
         }
     }
@@ -128,6 +125,7 @@
         it.arrived = run->arrived;
         it.deadline = run->deadline;
         it.sent_here = run->may_have_run();
+        it.attempts_left = attempts_left(*run);
         runs_.erase(run->token);
         for (auto& part : run->parts) {
             if (part.state == part_state::waiting) {
@@ -140,6 +138,14 @@
     }
 }
 
+std::uint32_t gateway::attempts_left(const request_run& run) {
+    std::size_t most = 0;
+    for (const auto& it : run.parts) {
+        most = std::max(most, it.tried.size() - it.failed_connections);
+    }
+    return run.max_attempts - std::min(run.max_attempts, static_cast<std::uint32_t>(most));
+}
+
 bool gateway::spend_for_relay(const request_run& run, time_point now) {
     return std::all_of(run.parts.begin(), run.parts.end(), [&](const auto& it) {
         const bool was_sent = it.tried.size() > it.failed_connections;
@@ -161,7 +167,8 @@
     it.retry_at = now + accept_time;
     ++counters_.relayed;
     run_timers_.add(it.retry_at, token);
-    out.emplace_back(gateway_action::relay{token, peer->address, it.table->version, it.deadline - now});
+    out.emplace_back(
+        gateway_action::relay{token, peer->address, it.table->version, it.attempts_left, it.deadline - now});
 }
 
 void gateway::refuse_relay(request_token token, time_point now, output& out) {
@@ -198,15 +205,11 @@
     relays_.erase(found);
 }
 
-void gateway::on_relay_accepted(request_token token, time_point now) {
+void gateway::on_relay_accepted(request_token token) {
     const auto found = relays_.find(token);
-    if (found == relays_.end()) {
-        return;
+    if (found != relays_.end()) {
+        found->second.accepted = true;
     }
-    auto& it = found->second;
-    it.accepted = true;
-    it.retry_at = now + relay_retry_after;
-    run_timers_.add(it.retry_at, token);
 }
 
 void gateway::on_relay_ended(request_token token, relay_result result, time_point now, output& out) {
@@ -237,8 +240,9 @@
         break;
     }
     out.emplace_back(gateway_action::report_relay{it.id, it.peer, result.outcome, result.detail});
+    // The attempts that were allowed are used up once another host has accepted the request and is lost.
     const bool idempotent = it.route->repeat == repeatability::idempotent;
-    if (it.may_have_run() && (!idempotent || it.lost >= max_relay_runs)) {
+    if (it.accepted || (it.may_have_run() && !idempotent)) {
         refuse_relay(token, now, out);
         return;
     }
@@ -256,7 +260,7 @@
         out.emplace_back(gateway_action::cancel_relay{token});
         ++it.lost;
         refuse_relay(token, now, out);
-    } else if (idempotent && now >= it.retry_at && it.lost < max_relay_runs) {
+    } else if (idempotent && !it.accepted && now >= it.retry_at) {
         out.emplace_back(gateway_action::cancel_relay{token});
         on_relay_ended(token, {relay_outcome::lost, {}, "no answer in time"}, now, out);
     }
--- a/src/skylarkseam/gateway/request_run.hpp
+++ b/src/skylarkseam/gateway/request_run.hpp
@@ -67,8 +67,9 @@
     /// failed part.
     duration searchers_back_in{};
     time_point deadline{};
-    std::uint32_t losses = 0; ///< Number of attempts that lost their connections.
-    bool relayed = false;     ///< True if another host passed the request on.
+    std::uint32_t losses = 0;       ///< Number of attempts that lost their connections.
+    bool relayed = false;           ///< True if another host passed the request on.
+    std::uint32_t max_attempts = 1; ///< Number of searchers that may get a part.
     /// True once a searcher has answered, so the request does not crash each searcher that runs it.
     bool harmless = false;
     std::vector<request_part> parts;
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -80,6 +80,7 @@
     auto event = to_gateway_request(incoming, binding_.dialect);
     event.time_left = request.time_left;
     event.relayed = true;
+    event.max_attempts = request.max_attempts;
     open_[token] = {std::move(incoming), std::move(answer), loop_.now()};
     ++relayed_open_;
     deliver(gateway_event::request_arrived{std::move(event)});
--- a/src/skylarkseam/shell/relay_runner.cpp
+++ b/src/skylarkseam/shell/relay_runner.cpp
@@ -63,6 +63,7 @@
     relay_request message;
     message.config_version = action.config_version;
     message.time_left = action.time_left;
+    message.max_attempts = action.max_attempts;
     message.method = request.method;
     message.target = request.target;
     message.path = request.path;
--- a/src/skylarkseam/wire/relay_codec.cpp
+++ b/src/skylarkseam/wire/relay_codec.cpp
@@ -6,7 +6,7 @@
 namespace skylarkseam {
 namespace {
 
-constexpr std::uint32_t request_fields = 7;
+constexpr std::uint32_t request_fields = 8;
 constexpr std::uint32_t decision_fields = 2;
 constexpr std::uint32_t answer_fields = 4;
 constexpr std::uint32_t header_fields = 2;
@@ -34,6 +34,7 @@
     return encode_message(request_fields, [&](packer& to) {
         to.pack(request.config_version);
         to.pack(request.time_left.count());
+        to.pack(request.max_attempts);
         to.pack(request.method);
         to.pack(request.target);
         to.pack(request.path);
@@ -63,6 +64,7 @@
         relay_request it;
         from.read_into(it.config_version);
         it.time_left = std::max(duration::zero(), from.next_duration());
+        from.read_into(it.max_attempts);
         from.read_into(it.method);
         from.read_into(it.target);
         from.read_into(it.path);
--- a/src/skylarkseam/wire/relay_codec.hpp
+++ b/src/skylarkseam/wire/relay_codec.hpp
@@ -15,6 +15,7 @@
 struct relay_request {
     std::uint64_t config_version = 0; ///< The receiver declines if it knows only an older configuration
     duration time_left{};
+    std::uint32_t max_attempts = 1; ///< Number of searchers that may get it
     std::string method;
     std::string target; ///< As the client wrote it, with the query string
     std::string path;   ///< Without the query string
--- a/tests/gateway/host_links.cpp
+++ b/tests/gateway/host_links.cpp
@@ -84,6 +84,7 @@
         request.time_left = action.time_left;
         request.fingerprint = origin.path;
         request.relayed = true;
+        request.max_attempts = action.max_attempts;
         requests_[token] = {origin.id, origin.path, now};
         handle(to, gateway_event::request_arrived{request});
     });
--- a/tests/gateway/stranded_hosts_test.cpp
+++ b/tests/gateway/stranded_hosts_test.cpp
@@ -155,6 +155,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(runs_on_no_more_searchers_than_its_route_allows) {
+    gateway_world slow{std::vector<std::string>{"a", "a", "b"}};
+    slow.work = seconds(2);
+    slow.add_service("desk", 20, {"a", "a", "b", "b"}, 400);
+    auto route = single_route("desk", repeatability::idempotent);
+    route.max_attempts = 1;
+    route.objective = seconds(6);
+    slow.add_route(route);
+    slow.publish();
+    slow.load("/audit/x", 30.0, seconds(4));
+    slow.run_for(milliseconds(500));
+    slow.links[0] = upstream_links::hanging;
+    slow.run_for(seconds(12));
+    BOOST_TEST(slow.hosts[0]->counters().relayed > 20U);
+    for (const auto& [id, runs] : slow.runs_of("desk")) {
+        BOOST_TEST(runs <= 1, id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_refused_at_once_if_no_host_reaches_a_searcher) {
     play({0, 1, 2, 3, 4, 5, 6, 7}, upstream_links::refused);
     std::size_t refused = 0;
--- a/tests/wire/relay_codec_test.cpp
+++ b/tests/wire/relay_codec_test.cpp
@@ -13,6 +13,7 @@
     relay_request it;
     it.config_version = 7;
     it.time_left = milliseconds(1480);
+    it.max_attempts = 3;
     it.method = "POST";
     it.target = "/a/b?x=%2f";
     it.path = "/a/b";
@@ -31,6 +32,7 @@
     BOOST_TEST_REQUIRE(out.has_value());
     BOOST_TEST(out.value().config_version == 7U);
     BOOST_TEST((out.value().time_left == milliseconds(1480)));
+    BOOST_TEST(out.value().max_attempts == 3U);
     BOOST_TEST(out.value().method == in.method);
     BOOST_TEST(out.value().target == in.target);
     BOOST_TEST(out.value().path == in.path);
