Give a request up soon if other gateways take it without a word

A host that is cut off from the other hosts as well (node_cut "all") would have held a request that must not run twice until its deadline, up to 8 s, and one that may run twice for eight times 250 ms.

Tests: fails_soon_if_all_other_hosts_stand_still; on the commit before, one of the two requests is still open after 1.1 s.

--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t max_relay_tries = 8;
 /// Time in which the other gateway has to accept the request; a round trip between regions and a busy host.
 constexpr duration accept_time = milliseconds(250);
+/// The same for a request that must not run twice and so is not passed on again without a word.
+constexpr duration longest_accept_time = seconds(1);
+/// Number of gateways that may leave one request without a word before it fails.
+constexpr std::uint32_t max_silent_peers = 2;
 constexpr duration check_timeout = milliseconds(100);
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -164,7 +168,8 @@
     it.peer = peer->address;
     it.accepted = false;
     it.tried.push_back(peer->address);
-    it.retry_at = now + accept_time;
+    const bool idempotent = it.route->repeat == repeatability::idempotent;
+    it.retry_at = now + (idempotent ? accept_time : longest_accept_time);
     ++counters_.relayed;
     run_timers_.add(it.retry_at, token);
     out.emplace_back(
@@ -242,7 +247,7 @@
     out.emplace_back(gateway_action::report_relay{it.id, it.peer, result.outcome, result.detail});
     // The attempts that were allowed are used up once another host has accepted the request and is lost.
     const bool idempotent = it.route->repeat == repeatability::idempotent;
-    if (it.accepted || (it.may_have_run() && !idempotent)) {
+    if (it.accepted || it.lost >= max_silent_peers || (it.may_have_run() && !idempotent)) {
         refuse_relay(token, now, out);
         return;
     }
@@ -254,13 +259,9 @@
     if (found == relays_.end()) {
         return;
     }
-    auto& it = found->second;
-    const bool idempotent = it.route->repeat == repeatability::idempotent;
-    if (now >= it.deadline) {
-        out.emplace_back(gateway_action::cancel_relay{token});
-        ++it.lost;
-        refuse_relay(token, now, out);
-    } else if (idempotent && !it.accepted && now >= it.retry_at) {
+    const auto& it = found->second;
+    const bool silent = !it.accepted && now >= it.retry_at;
+    if (now >= it.deadline || silent) {
         out.emplace_back(gateway_action::cancel_relay{token});
         on_relay_ended(token, {relay_outcome::lost, {}, "no answer in time"}, now, out);
     }
--- a/tests/gateway/stranded_hosts_test.cpp
+++ b/tests/gateway/stranded_hosts_test.cpp
@@ -215,6 +215,36 @@
     BOOST_TEST(!other.hosts[0]->takes_relays(2));
 }
 
+BOOST_AUTO_TEST_CASE(fails_soon_if_all_other_hosts_stand_still) {
+    world.links[0] = upstream_links::hanging;
+    world.load("/search/x", 100.0, seconds(2));
+    world.run_for(seconds(4));
+    BOOST_TEST_REQUIRE(world.hosts[0]->reach().cut_off());
+    for (std::uint32_t host = 1; host < 8; ++host) {
+        world.still.insert(host);
+    }
+    world.results.clear();
+    world.send_request("/search/y", 0);
+    world.send_request("/audit/y", 0);
+    world.run_for(milliseconds(1100));
+    BOOST_TEST(world.results.size() == 2U);
+    for (const auto& it : world.results) {
+        BOOST_TEST(it.status == 502, it.path);
+    }
+    world.send_request("/search/x", 0); // To the last host that is left.
+    world.run_for(milliseconds(600));
+    world.results.clear();
+    for (int n = 0; n < 20; ++n) {
+        world.send_request("/search/z/" + std::to_string(n), 0);
+    }
+    world.run_for(milliseconds(100));
+    // Hosts that have left a request without a word are avoided.
+    const auto at_once = std::count_if(world.results.begin(), world.results.end(), [](const auto& it) {
+        return it.status == 503 && it.latency < milliseconds(5);
+    });
+    BOOST_TEST(at_once >= 10);
+}
+
 BOOST_AUTO_TEST_CASE(is_passed_on_again_if_the_other_host_stands_still) {
     world.links[0] = upstream_links::hanging;
     world.load("/search/x", 100.0, seconds(2));
