--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -1,7 +1,7 @@
 // Requests that may crash each searcher that runs them. A client sends such a request again and again, at any
 // host, and without a memory of it one searcher after another ends. A searcher's end is held against the
 // requests that were open there; a request under which several searchers ended, each after it had been sent
-// anew, is refused. Any answer of a searcher clears a request, so that requests which were only open beside
+// again, is refused. Any answer of a searcher clears a request, so that requests which were only open beside
 // such a one, or whose searchers ended for another reason, are not refused.
 #pragma once
 
--- a/tests/shell/relay_runner_test.cpp
+++ b/tests/shell/relay_runner_test.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-std::string unused_address() {
-    const int fd = open_listener("127.0.0.1:0");
-    auto address = bound_address(fd);
-    ::close(fd);
-    return address;
-}
-
 platform_binding names() {
     platform_binding out;
     out.dialect.request_id = "x-id";
--- a/tests/shell/scripted_server.hpp
+++ b/tests/shell/scripted_server.hpp
@@ -14,6 +14,14 @@
 
 namespace skylarkseam {
 
+/// An address of this machine at which nothing listens.
+inline std::string unused_address() {
+    const int fd = open_listener("127.0.0.1:0");
+    auto address = bound_address(fd);
+    ::close(fd);
+    return address;
+}
+
 class scripted_server {
 public:
     /// What is sent for one request.
--- a/tests/shell/upstream_pool_test.cpp
+++ b/tests/shell/upstream_pool_test.cpp
@@ -20,14 +20,6 @@
            body;
 }
 
-/// An address of this machine at which nothing listens.
-std::string unused_address() {
-    const int fd = open_listener("127.0.0.1:0");
-    auto address = bound_address(fd);
-    ::close(fd);
-    return address;
-}
-
 struct pool_fixture : loop_fixture {
     std::function<scripted_server::reply(const std::string&)> script = [](const auto&) {
         return scripted_server::reply{answer("hello")};
