Do not hold a query for a check that is not made

A query that had lost connections waits for the check of the searcher before its next part is sent. A check whose result said nothing new of the request did not continue it either.

--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -111,7 +111,11 @@
 void gateway::record_loss(const attempt& ended, bool accountable, time_point now, output& out) {
     auto& it = *ended.target;
     if (!accountable || !suspects_.add_loss(ended.fingerprint, ended.target, ended.sent, now) ||
-        it.check_open || now - it.checked_at < check_interval) {
+        it.check_open) {
+        return;
+    }
+    if (now - it.checked_at < check_interval) {
+        suspects_.note_checked(it); // It accepted connections just now.
         return;
     }
     it.check_open = true;
@@ -140,9 +144,9 @@
     }
     if (result == check_result::refused && !may_be_cut_off()) {
         on_searcher_ended(*target, now, out);
-        return;
+    } else {
+        suspects_.note_checked(*target);
     }
-    suspects_.note_checked(*target);
     continue_runs([](const auto& run) { return run.count(part_state::deferred) > 0; }, now, out);
 }
 
--- a/tests/gateway/deadly_request_test.cpp
+++ b/tests/gateway/deadly_request_test.cpp
@@ -231,6 +231,34 @@
     BOOST_TEST(count_faults(world, "/audit/x", "crashes_searchers") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(do_not_hold_queries_whose_answers_they_lose) {
+    gateway_world world;
+    for (const auto* const it : {"s0", "s1"}) {
+        world.add_service(it, 8, {"a", "b", "c"});
+    }
+    auto route = shard_route({"s0", "s1"}, 1.0);
+    route.max_attempts = 3;
+    route.objective = seconds(2);
+    world.add_route(route);
+    world.publish();
+    world.send_request("/search/before");
+    world.run_for(seconds(1));
+    for (const auto* const it : {"s0", "s1"}) {
+        for (std::size_t zone = 0; zone < 3; ++zone) {
+            world.at(it, zone).behaviour.lost_share = 1.0;
+        }
+    }
+    // The second query loses its connections while the searchers have just been checked.
+    world.send_request("/search/first");
+    world.run_for(milliseconds(250));
+    world.send_request("/search/second");
+    world.run_for(seconds(5));
+    BOOST_TEST_REQUIRE(world.results.size() == 3U);
+    for (const auto& it : world.results) {
+        BOOST_TEST((it.latency < milliseconds(500)), it.path);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(are_told_from_searchers_that_only_lose_answers, desk_fixture) {
     add_desk(repeatability::idempotent);
     for (auto& it : world.searchers["desk"]) {
