Do not avoid a gateway for one late answer while it answers other requests

A host refused every request at once for 3 s.

Cause: a request with 400 ms left was accepted by the only gateway that worked, had no answer when its time was up, and the gateway was avoided for 3 s (relay_failed outcome=lost), although it answered other requests in the same second. A request whose time is up says something of that request.

Change: silence counts against a gateway only if it has neither accepted nor answered anything since the request was sent to it; a connection that ends still does.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -144,7 +144,8 @@
     answered,
     declined, ///< The other host does not take requests of others now; the request has not run.
     not_sent, ///< No byte of the request left this host.
-    lost,     ///< No answer came; the request may have run.
+    silent,   ///< No answer came in time; the request may have run.
+    lost,     ///< The connection to the other host ended; the request may have run.
 };
 
 [[nodiscard]] std::string_view name_of(relay_outcome outcome);
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -112,6 +112,7 @@
         time_point deadline{};
         std::vector<std::string> tried;  ///< Addresses of the hosts that got it
         std::string peer;                ///< The last of them
+        time_point sent{};               ///< Time at which it was passed on to the last host
         time_point retry_at{};           ///< Time by which the last host has to accept it
         std::uint32_t attempts_left = 1; ///< Number of searchers that may still get it
         std::uint32_t lost = 0;          ///< Number of hosts that have not answered
@@ -217,7 +218,7 @@
     void relay_on(request_token token, time_point now, output& out);
     void refuse_relay(request_token token, time_point now, output& out);
     void answer_relay(request_token token, any_answer value, time_point now, output& out);
-    void on_relay_accepted(request_token token);
+    void on_relay_accepted(request_token token, time_point now);
     void on_relay_ended(request_token token, relay_result result, time_point now, output& out);
     void on_relay_timer(request_token token, time_point now, output& out);
 
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -169,6 +169,7 @@
     it.accepted = false;
     it.tried.push_back(peer->address);
     const bool idempotent = it.route->repeat == repeatability::idempotent;
+    it.sent = now;
     it.retry_at = now + (idempotent ? accept_time : longest_accept_time);
     ++counters_.relayed;
     run_timers_.add(it.retry_at, token);
@@ -210,10 +211,11 @@
     relays_.erase(found);
 }
 
-void gateway::on_relay_accepted(request_token token) {
+void gateway::on_relay_accepted(request_token token, time_point now) {
     const auto found = relays_.find(token);
     if (found != relays_.end()) {
         found->second.accepted = true;
+        peers_.note_word(found->second.peer, now);
     }
 }
 
@@ -225,7 +227,7 @@
     auto& it = found->second;
     switch (result.outcome) {
     case relay_outcome::answered:
-        peers_.note_answered(it.peer, now);
+        peers_.note_word(it.peer, now);
         if (result.answer.status != status_unavailable || it.refusal) {
             answer_relay(token, std::move(result.answer), now, out);
             return;
@@ -239,6 +241,10 @@
     case relay_outcome::not_sent:
         peers_.note_lost(it.peer, now);
         break;
+    case relay_outcome::silent:
+        peers_.note_silence(it.peer, it.sent, now);
+        ++it.lost;
+        break;
     case relay_outcome::lost:
         peers_.note_lost(it.peer, now);
         ++it.lost;
@@ -263,7 +269,7 @@
     const bool silent = !it.accepted && now >= it.retry_at;
     if (now >= it.deadline || silent) {
         out.emplace_back(gateway_action::cancel_relay{token});
-        on_relay_ended(token, {relay_outcome::lost, {}, "no answer in time"}, now, out);
+        on_relay_ended(token, {relay_outcome::silent, {}, "no answer in time"}, now, out);
     }
 }
 
--- a/src/skylarkseam/gateway/relay_peers.cpp
+++ b/src/skylarkseam/gateway/relay_peers.cpp
@@ -8,16 +8,16 @@
 /// Time after which a peer that declined, mostly because it is cut off as well, is asked again.
 constexpr duration declined_time = seconds(3);
 constexpr duration lost_time = seconds(3);
-/// Time for which a peer that has answered shows that not all of its zone is cut off.
-constexpr duration answered_time = seconds(3);
-/// Failed peers of a zone, with none that has answered, from which on other zones are asked first.
+/// Time for which a peer that has taken a request shows that not all of its zone is cut off.
+constexpr duration word_memory = seconds(3);
+/// Failed peers of a zone, with none that has taken a request, from which on other zones are asked first.
 constexpr std::size_t failures_before_other_zone = 3;
 
 } // namespace
 
 std::pair<bool, int> relay_peers::rank(const relay_peer& it) const {
     const auto found = zones_.find(it.zone);
-    const bool cut_off = found != zones_.end() && !found->second.answers &&
+    const bool cut_off = found != zones_.end() && !found->second.takes &&
                          found->second.failed >= std::min(failures_before_other_zone, found->second.known);
     const int near = it.region == region_ ? 1 : 2;
     return {cut_off, it.zone == zone_ ? 0 : near};
@@ -25,13 +25,13 @@
 
 void relay_peers::count_zones(time_point now) {
     std::erase_if(avoided_until_, [now](const auto& it) { return now >= it.second; });
-    std::erase_if(answered_at_, [now](const auto& it) { return now - it.second >= answered_time; });
+    std::erase_if(last_word_, [now](const auto& it) { return now - it.second >= word_memory; });
     zones_.clear();
     for (const auto& it : peers_) {
         auto& zone = zones_[it.zone];
         ++zone.known;
         zone.failed += avoided_until_.contains(it.address) ? 1 : 0;
-        zone.answers = zone.answers || answered_at_.contains(it.address);
+        zone.takes = zone.takes || last_word_.contains(it.address);
     }
 }
 
@@ -66,12 +66,19 @@
     avoided_until_[address] = now + declined_time;
 }
 
-void relay_peers::note_answered(const std::string& address, time_point now) {
-    answered_at_[address] = now;
+void relay_peers::note_word(const std::string& address, time_point now) {
+    last_word_[address] = now;
 }
 
 void relay_peers::note_lost(const std::string& address, time_point now) {
     avoided_until_[address] = now + lost_time;
 }
 
+void relay_peers::note_silence(const std::string& address, time_point sent, time_point now) {
+    const auto word = last_word_.find(address);
+    if (word == last_word_.end() || word->second < sent) {
+        note_lost(address, now);
+    }
+}
+
 } // namespace skylarkseam
--- a/src/skylarkseam/gateway/relay_peers.hpp
+++ b/src/skylarkseam/gateway/relay_peers.hpp
@@ -38,15 +38,19 @@
 
     /// The peer takes no requests of others now.
     void note_declined(const std::string& address, time_point now);
-    void note_answered(const std::string& address, time_point now);
-    /// The peer has not answered.
+    /// The peer has accepted a request or answered it.
+    void note_word(const std::string& address, time_point now);
+    /// The peer is not reached, or its connection has ended.
     void note_lost(const std::string& address, time_point now);
+    /// The peer has said nothing of a request that was sent to it at `sent`. It counts as lost only if it has
+    /// said nothing of other requests since.
+    void note_silence(const std::string& address, time_point sent, time_point now);
 
 private:
     struct zone_state {
         std::size_t known = 0;
         std::size_t failed = 0; ///< Peers that are avoided now
-        bool answers = false;   ///< Whether one of them has answered lately
+        bool takes = false;     ///< Whether one of them has taken a request lately
     };
 
     void count_zones(time_point now);
@@ -58,7 +62,7 @@
     pcg32 random_;
     std::vector<relay_peer> peers_;
     std::map<std::string, time_point> avoided_until_; ///< By address
-    std::map<std::string, time_point> answered_at_;   ///< By address
+    std::map<std::string, time_point> last_word_;     ///< By address
     std::map<std::string, zone_state> zones_;         ///< As of the last choice
 };
 
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -49,6 +49,7 @@
     named_value<relay_outcome>{relay_outcome::answered, "answered"},
     named_value<relay_outcome>{relay_outcome::declined, "declined"},
     named_value<relay_outcome>{relay_outcome::not_sent, "not_sent"},
+    named_value<relay_outcome>{relay_outcome::silent, "silent"},
     named_value<relay_outcome>{relay_outcome::lost, "lost"},
 }};
 
--- a/tests/gateway/stranded_hosts_test.cpp
+++ b/tests/gateway/stranded_hosts_test.cpp
@@ -42,25 +42,61 @@
         world.publish();
     }
 
-    /// Cuts the hosts off for a time while clients ask all hosts.
-    void play(const std::set<std::uint32_t>& hosts, upstream_links state) {
-        cut = hosts;
+    /// Adds a route to a service whose searcher never answers.
+    void add_silent_service() {
+        world.add_service("silent", 4, {"c"});
+        auto route = single_route("silent", repeatability::idempotent);
+        route.name = "silent";
+        route.prefix = "/silent/";
+        route.max_attempts = 1;
+        world.add_route(route);
+        world.publish();
+        world.at("silent").behaviour.unreachable = true;
+    }
+
+    void begin_load() {
         world.load("/search/x", 180.0, seconds(20));
         world.load("/audit/x", 45.0, seconds(20));
-        world.run_for(seconds(3));
-        cut_at = world.now;
+    }
+
+    void cut_links(const std::set<std::uint32_t>& hosts, upstream_links state) {
         for (const auto host : hosts) {
             world.links[host] = state;
         }
+    }
+
+    /// Cuts the hosts off for a time while clients ask all hosts.
+    void play(const std::set<std::uint32_t>& hosts, upstream_links state) {
+        cut = hosts;
+        begin_load();
+        world.run_for(seconds(3));
+        cut_at = world.now;
+        cut_links(hosts, state);
         world.after(cut_time, [this] { world.links.clear(); });
         world.run_for(seconds(25));
     }
 
+    /// Cuts most hosts off, and those of zone a later while the others still are.
+    void play_overlap(const std::set<std::uint32_t>& most) {
+        begin_load();
+        world.run_for(seconds(3));
+        cut_links(most, upstream_links::hanging);
+        world.run_for(seconds(8));
+        cut = {0, 3, 6};
+        cut_links(cut, upstream_links::refused);
+        cut_at = world.now;
+        world.after(cut_time, [this] { world.links.clear(); });
+        world.run_for(seconds(14));
+    }
+
     /// First tries that arrived while the hosts were cut off and had had time to adapt.
     [[nodiscard]] tries at(bool at_cut_hosts) const {
         tries out;
         for (const auto& it : world.results) {
             const auto arrived = it.answered - it.latency;
+            if (it.path.starts_with("/silent/")) {
+                continue;
+            }
             if (cut.contains(it.host) == at_cut_hosts && arrived >= cut_at + adapted_after &&
                 arrived < cut_at + cut_time) {
                 ++out.asked;
@@ -105,6 +141,17 @@
     check();
 }
 
+BOOST_AUTO_TEST_CASE(are_served_far_worse_if_a_second_cut_leaves_two_hosts) {
+    // Host 0 knows the hosts of its zone, all cut off, and the first of each other zone: 1, cut off, and 2.
+    // A service without an answer uses up the time of some requests, whichever host they are passed on to.
+    add_silent_service();
+    for (duration at = seconds(3); at < seconds(22); at += milliseconds(700)) {
+        world.after(at, [this] { world.send_request("/silent/x", 0, milliseconds(400)); });
+    }
+    play_overlap({1, 3, 4, 5, 6});
+    check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(clients_of_many_hosts_without_a_searcher)
--- a/tests/gateway/upstream_reach_test.cpp
+++ b/tests/gateway/upstream_reach_test.cpp
@@ -131,6 +131,18 @@
     BOOST_TEST(peers.pick(tried, none, now + seconds(3))->address == "p1");
 }
 
+BOOST_AUTO_TEST_CASE(may_have_left_one_request_without_an_answer_while_it_answered_others) {
+    relay_peers peers("a1", "north", 1);
+    peers.set({{"p1", "a1", "north"}});
+    const time_point sent{seconds(100)};
+    const auto now = sent + seconds(2);
+    peers.note_word("p1", sent + milliseconds(10));
+    peers.note_silence("p1", sent, now);
+    BOOST_TEST(peers.pick({}, {}, now).has_value());
+    peers.note_silence("p1", sent + milliseconds(11), now);
+    BOOST_TEST(!peers.pick({}, {}, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(is_in_another_zone_if_none_of_the_zone_takes_it) {
     relay_peers peers("a1", "north", 1);
     std::vector<relay_peer> known{{"q1", "b1", "east"}, {"q2", "c1", "south"}};
@@ -151,7 +163,7 @@
     const auto near = peers.pick({}, {}, now)->address;
     BOOST_TEST(near.starts_with("p"));
     // One that answers shows that not all of the zone is cut off.
-    peers.note_answered(near, now);
+    peers.note_word(near, now);
     BOOST_TEST(peers.pick({}, {}, now)->address.starts_with("p"));
 }
 
