Take an answer, not an open connection, for proof that searchers are reached

Cause: an opened connection counted as proof of reach. It cleared the suspicion and ended a cut.

Change: a check sends a liveness request (the operator's path, which the gateway did not read so far) on a connection of its own and waits for any answer, at most the shortest objective of the routes. A round in which connections opened counts as failed only if no searcher has answered any request since it began, so a host with slow searchers does not count as one without a path. Three connections lost in a row are a reason for a round, as three that do not open. Cold, limited and evacuated searchers and those that back off get no such request.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -71,10 +71,12 @@
     bool connection_refused = false;
 };
 
-/// Result of a check whether a searcher accepts connections.
+/// Result of a check of a searcher.
 enum class check_result {
-    accepted,
-    refused, ///< Nothing listens at the address.
+    accepted, ///< A connection was opened; the check asked for no more.
+    answered, ///< The searcher answered a liveness request.
+    silent,   ///< A connection was opened, and the liveness request on it was not answered.
+    refused,  ///< Nothing listens at the address.
     no_answer,
 };
 
@@ -218,11 +220,14 @@
     /// its connection limit resets the connection in that time, and the request has not left this host.
     duration settle_time{};
 };
-/// Opens a connection to a searcher and closes it again. No request is sent; the searcher may have ended.
+/// Opens a connection to a searcher, sends a liveness request if there is a path for it, and closes the
+/// connection. The searcher may have ended.
 struct check_searcher {
     attempt_id id = 0;
     std::string address;
-    duration timeout{};
+    duration timeout{};          ///< Timeout for opening the connection.
+    std::string liveness_path{}; ///< Path of the liveness request; empty if none is sent.
+    duration answer_timeout{};   ///< Timeout of its answer.
 };
 /// Passes a request on to another host.
 struct relay {
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -210,6 +210,11 @@
     void note_silence(const request_part& part, time_point now);
     /// Checks whether this host reaches searchers, if that is due.
     void check_reach(time_point now, output& out);
+    /// Searchers for a round of checks; those that may get a liveness request go first.
+    [[nodiscard]] std::vector<known_searcher_ptr> searchers_to_check(std::size_t count, time_point now);
+    /// Whether a liveness request breaks no limit of the searcher.
+    [[nodiscard]] static bool takes_liveness_requests(const known_searcher& it, time_point now);
+    [[nodiscard]] duration shortest_objective() const;
     void take_reach_check(attempt_id id, check_result result, time_point now, output& out);
     /// Asks other hosts whether they take requests, while this one reaches no searcher.
     void ask_peers(time_point now, output& out);
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -183,7 +183,7 @@
     }
     if (result.connect_time) {
         round_trips_.add(it.record.zone, *result.connect_time);
-        reach_.note_connected(now);
+        reach_.note_connected();
     }
     switch (result.outcome) {
     case attempt_outcome::answered: {
@@ -216,6 +216,7 @@
         }
         break;
     case attempt_outcome::broken:
+        reach_.note_loss(now);
         if (result.connect_time) {
             it.new_connection_lost_at = now;
         }
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -18,6 +18,9 @@
 /// Number of gateways that may leave one request without a word before it fails.
 constexpr std::uint32_t max_silent_peers = 2;
 constexpr duration check_timeout = milliseconds(100);
+/// Longest time for the answer to a liveness request. It is the shortest objective of the routes: a searcher
+/// that takes longer than that is of no use to them.
+constexpr duration longest_answer_time = seconds(1);
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
@@ -52,38 +55,63 @@
     if (due == 0) {
         return;
     }
+    const auto chosen = searchers_to_check(due, now);
+    const auto answer_time = shortest_objective();
+    reach_.begin_round(chosen.size(), now);
+    for (const auto& it : chosen) {
+        const auto id = ++last_attempt_id_;
+        reach_checks_.insert(id);
+        ++counters_.searcher_checks;
+        const auto service = table_->services.find(it->record.service);
+        const bool asked = takes_liveness_requests(*it, now) && service != table_->services.end();
+        const auto round_trip = round_trips_.to(*it);
+        out.emplace_back(gateway_action::check_searcher{
+            id, it->record.address, std::max(check_timeout, round_trip * 4),
+            asked ? service->second.liveness_path : std::string(), round_trip + answer_time});
+    }
+}
+
+std::vector<known_searcher_ptr> gateway::searchers_to_check(std::size_t count, time_point now) {
     // Searchers of several zones, so that the end of a whole zone does not look like a cut of this host.
     std::map<std::string, std::vector<known_searcher_ptr>> by_zone;
+    std::map<std::string, std::vector<known_searcher_ptr>> others;
     for (const auto& [id, it] : searchers_.all()) {
         if (it->registered && !it->leaving) {
-            by_zone[it->record.zone].push_back(it);
+            (takes_liveness_requests(*it, now) ? by_zone : others)[it->record.zone].push_back(it);
         }
     }
     std::vector<known_searcher_ptr> chosen;
-    while (chosen.size() < due && !by_zone.empty()) {
-        for (auto zone = by_zone.begin(); zone != by_zone.end() && chosen.size() < due;) {
-            auto& list = zone->second;
-            const auto at = reach_random_(static_cast<std::uint32_t>(list.size()));
-            chosen.push_back(list[at]);
-            list.erase(list.begin() + at);
-            zone = list.empty() ? by_zone.erase(zone) : std::next(zone);
+    for (auto* const zones : {&by_zone, &others}) {
+        while (chosen.size() < count && !zones->empty()) {
+            for (auto zone = zones->begin(); zone != zones->end() && chosen.size() < count;) {
+                auto& list = zone->second;
+                const auto at = reach_random_(static_cast<std::uint32_t>(list.size()));
+                chosen.push_back(list[at]);
+                list.erase(list.begin() + at);
+                zone = list.empty() ? zones->erase(zone) : std::next(zone);
+            }
         }
     }
-    reach_.begin_round(chosen.size(), now);
-    for (const auto& it : chosen) {
-        const auto id = ++last_attempt_id_;
-        reach_checks_.insert(id);
-        ++counters_.searcher_checks;
-        out.emplace_back(gateway_action::check_searcher{id, it->record.address,
-                                                        std::max(check_timeout, round_trips_.to(*it) * 4)});
+    return chosen;
+}
+
+bool gateway::takes_liveness_requests(const known_searcher& it, time_point now) {
+    return !it.evacuated && !it.backing_off(now) && !it.rate.limit() && now >= it.cold_until;
+}
+
+duration gateway::shortest_objective() const {
+    duration shortest = longest_answer_time;
+    for (const auto& it : table_->routes) {
+        shortest = it.objective > duration::zero() ? std::min(shortest, it.objective) : shortest;
     }
+    return shortest;
 }
 
 void gateway::take_reach_check(attempt_id id, check_result result, time_point now, output& out) {
     if (reach_checks_.erase(id) == 0) {
         return;
     }
-    if (!reach_.take_check(result == check_result::accepted, now)) {
+    if (!reach_.take_check(result, now)) {
         check_reach(now, out);
         return;
     }
--- a/src/skylarkseam/gateway/routing.hpp
+++ b/src/skylarkseam/gateway/routing.hpp
@@ -61,6 +61,7 @@
     std::uint32_t max_connections = 1;
     /// Requests per second that a cold searcher can handle from all hosts; 0 if there is no limit.
     double cold_rate = 0.0;
+    std::string liveness_path{}; ///< Path of the searchers' liveness check; empty if there is none.
 };
 
 struct client_limits {
--- a/src/skylarkseam/gateway/upstream_reach.cpp
+++ b/src/skylarkseam/gateway/upstream_reach.cpp
@@ -17,25 +17,26 @@
 /// Shortest time from a check that succeeded until a round for which refused requests are the only reason.
 constexpr duration refusal_interval = seconds(2);
 constexpr duration round_interval_cut_off = milliseconds(250);
-/// Connections that fail in a row before a round begins; single searchers that end are no reason.
+/// Failures in a row before a round begins; single searchers that end are no reason.
 constexpr std::uint32_t failures_before_round = 3;
-/// Time after which a failure to connect does not count any more.
+/// Time after which a failure does not count any more.
 constexpr duration failure_memory = seconds(2);
 
 } // namespace
 
-void upstream_reach::note_connected(time_point now) {
-    last_answer_ = now;
-    connect_failures_ = 0;
-    suspected_ = false;
+void upstream_reach::failure_run::add(time_point now) {
+    count = now - last > failure_memory ? 1 : count + 1;
+    last = now;
 }
 
-void upstream_reach::note_connect_failure(time_point now) {
-    if (now - last_connect_failure_ > failure_memory) {
-        connect_failures_ = 0;
-    }
-    last_connect_failure_ = now;
-    suspected_ = ++connect_failures_ >= failures_before_round || suspected_;
+bool upstream_reach::failure_run::suspicious() const {
+    return count >= failures_before_round;
+}
+
+void upstream_reach::note_answer(time_point now) {
+    last_answer_ = now;
+    losses_.count = 0;
+    silence_ = false;
 }
 
 std::size_t upstream_reach::checks_due(time_point now) const {
@@ -53,7 +54,7 @@
     if (failed_rounds_ > 0) {
         return round_began_;
     }
-    if (suspected_) {
+    if (silence_ || connect_failures_.suspicious() || losses_.suspicious()) {
         return round_began_ + round_interval;
     }
     return refused_ ? std::optional(std::max(round_began_ + round_interval, last_success_ + refusal_interval))
@@ -63,24 +64,37 @@
 void upstream_reach::begin_round(std::size_t checks, time_point now) {
     round_began_ = now;
     open_checks_ = checks;
-    accepted_in_round_ = false;
-    suspected_ = false;
+    succeeded_in_round_ = false;
+    connected_in_round_ = false;
+    connect_failures_.count = 0;
+    losses_.count = 0;
+    silence_ = false;
     refused_ = false;
 }
 
-bool upstream_reach::take_check(bool accepted, time_point now) {
+bool upstream_reach::take_check(check_result result, time_point now) {
     if (open_checks_ == 0) {
         return false;
     }
     --open_checks_;
-    accepted_in_round_ = accepted_in_round_ || accepted;
-    if (accepted) {
+    const bool success = result == check_result::answered || result == check_result::accepted;
+    succeeded_in_round_ = succeeded_in_round_ || success;
+    connected_in_round_ = connected_in_round_ || result == check_result::silent;
+    if (success) {
         failed_rounds_ = 0;
         last_success_ = now;
-        note_connected(now);
+        note_answer(now);
         return set_state(reach_state::sound, now);
     }
-    if (open_checks_ > 0 || accepted_in_round_ || ++failed_rounds_ < rounds_to_cut_off) {
+    return open_checks_ == 0 && !succeeded_in_round_ && end_round(now);
+}
+
+bool upstream_reach::end_round(time_point now) {
+    if (connected_in_round_ && last_answer_ > round_began_) {
+        failed_rounds_ = 0; // Searchers are slow to answer, but they are reached.
+        return false;
+    }
+    if (++failed_rounds_ < rounds_to_cut_off) {
         return false;
     }
     failed_rounds_ = 0;
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -31,6 +31,10 @@
               [this](std::uint64_t id, check_result result) {
                   deliver(gateway_event::searcher_checked{id, result});
               })
+    , liveness_(loop,
+                [this](std::uint64_t id, check_result result) {
+                    deliver(gateway_event::searcher_checked{id, result});
+                })
     , server_(
           loop, limits,
           [this](incoming_request request, respond answer) { take(std::move(request), std::move(answer)); },
@@ -121,7 +125,11 @@
         gateway_front& self;
         void operator()(gateway_action::send& it) const { self.send(it); }
         void operator()(gateway_action::check_searcher& it) const {
-            self.checks_.start(it.id, it.address, it.timeout);
+            if (it.liveness_path.empty()) {
+                self.checks_.start(it.id, it.address, it.timeout);
+            } else {
+                self.liveness_.start(it);
+            }
         }
         void operator()(gateway_action::cancel& it) const { self.pool_.cancel(it.id); }
         void operator()(gateway_action::relay& it) const {
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -5,6 +5,7 @@
 #include <skylarkseam/gateway/gateway.hpp>
 #include <skylarkseam/shell/connection_checks.hpp>
 #include <skylarkseam/shell/http_server.hpp>
+#include <skylarkseam/shell/liveness_checks.hpp>
 #include <skylarkseam/shell/metrics.hpp>
 #include <skylarkseam/shell/platform_binding.hpp>
 #include <skylarkseam/shell/relay_runner.hpp>
@@ -81,6 +82,7 @@
     gateway gateway_;
     upstream_pool pool_;
     connection_checks checks_;
+    liveness_checks liveness_;
     http_server server_;
     wakeup_timer timer_;
     std::unordered_map<request_token, open_request> open_;
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -74,7 +74,7 @@
 
 void gateway_world::add_service(const std::string& name, std::uint32_t slots,
                                 const std::vector<std::string>& zones, std::uint32_t connections) {
-    table_->services[name] = {name, connections, 0.0};
+    table_->services[name] = {name, connections, 0.0, "/health"};
     for (const auto& zone : zones) {
         auto it = std::make_unique<model_searcher>();
         const auto n = by_address_.size();
@@ -385,7 +385,8 @@
 
 void gateway_world::reply(const model_searcher& from, const std::shared_ptr<in_flight_attempt>& attempt,
                           attempt_result result) {
-    if (std::exchange(attempt->replied, true) || links[attempt->host] == upstream_links::hanging) {
+    if (std::exchange(attempt->replied, true) || links[attempt->host] == upstream_links::hanging ||
+        links[attempt->host] == upstream_links::mute) {
         return;
     }
     after(link(attempt->host, from), [this, attempt, result = std::move(result)] {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -80,8 +80,10 @@
 /// What becomes of a host's connections to searchers.
 enum class upstream_links {
     sound,
-    hanging, ///< Nothing passes; connections do not open, and what is sent is lost after a time.
-    refused, ///< Open connections are reset, and new ones are refused.
+    hanging,   ///< Nothing passes; connections do not open, and what is sent is lost after a time.
+    refused,   ///< Open connections are reset, and new ones are refused.
+    mute,      ///< Connections open, and nothing that is sent on them is answered.
+    resetting, ///< Connections open and are reset when something is sent on them.
 };
 
 class gateway_world {
@@ -174,6 +176,8 @@
     /// Handles an attempt of a host whose links are not sound. Returns false if they are.
     bool lose(std::uint32_t host, const std::shared_ptr<in_flight_attempt>& attempt,
               const gateway_action::send& action);
+    void end_later(const std::shared_ptr<in_flight_attempt>& attempt, duration delay,
+                   const attempt_result& result);
     void relay(std::uint32_t host, const gateway_action::relay& action);
     void ask_peer(std::uint32_t host, const gateway_action::ask_peer& action);
     void cancel_relay(std::uint32_t host, request_token token);
--- a/tests/gateway/host_links.cpp
+++ b/tests/gateway/host_links.cpp
@@ -16,7 +16,17 @@
     if (state == upstream_links::sound) {
         return false;
     }
+    if (state == upstream_links::mute) {
+        return true;
+    }
     attempt_result result;
+    if (state == upstream_links::resetting) {
+        result.outcome = attempt_outcome::broken;
+        result.connection_lost = true;
+        result.connect_time = 2 * link(host, *attempt->target);
+        end_later(attempt, 2 * *result.connect_time, result);
+        return true;
+    }
     result.outcome = attempt_outcome::not_sent;
     result.connection_refused = state == upstream_links::refused;
     auto after_time =
@@ -30,13 +40,18 @@
         after(duration::zero(),
               [this, host, id = action.id] { handle(host, gateway_event::attempt_connecting{id}); });
     }
-    after(after_time, [this, attempt, result] {
+    end_later(attempt, after_time, result);
+    return true;
+}
+
+void gateway_world::end_later(const std::shared_ptr<in_flight_attempt>& attempt, duration delay,
+                              const attempt_result& result) {
+    after(delay, [this, attempt, result] {
         if (!attempt->cancelled) {
             remove_in_flight((attempt_id{attempt->host} << 48U) | attempt->id);
             handle(attempt->host, gateway_event::attempt_ended{attempt->id, result});
         }
     });
-    return true;
 }
 
 duration gateway_world::between(std::uint32_t host, std::uint32_t other) const {
--- a/tests/gateway/searcher_crashes.cpp
+++ b/tests/gateway/searcher_crashes.cpp
@@ -40,13 +40,20 @@
     const auto finish = [this, host, id = action.id](duration delay, check_result result) {
         after(delay, [this, host, id, result] { handle(host, gateway_event::searcher_checked{id, result}); });
     };
-    if (links[host] == upstream_links::hanging || target.behaviour.unreachable) {
+    const bool muted = links[host] == upstream_links::mute || links[host] == upstream_links::resetting;
+    if (muted) {
+        const auto asked = !action.liveness_path.empty();
+        finish(asked ? action.answer_timeout : 2 * way,
+               asked ? check_result::silent : check_result::accepted);
+    } else if (links[host] == upstream_links::hanging || target.behaviour.unreachable) {
         finish(action.timeout, check_result::no_answer);
     } else if (links[host] == upstream_links::refused) {
         finish(2 * way, check_result::refused);
     } else {
-        after(way, [finish, way, &target] {
-            finish(way, target.ended ? check_result::refused : check_result::accepted);
+        after(way, [finish, way, &target, action] {
+            const auto success =
+                action.liveness_path.empty() ? check_result::accepted : check_result::answered;
+            finish(way, target.ended ? check_result::refused : success);
         });
     }
 }
--- a/tests/gateway/stranded_hosts_test.cpp
+++ b/tests/gateway/stranded_hosts_test.cpp
@@ -131,6 +131,16 @@
     check();
 }
 
+BOOST_AUTO_TEST_CASE(are_served_far_worse_if_connections_open_and_nothing_is_answered) {
+    play({0, 1, 3, 4, 6}, upstream_links::mute);
+    check();
+}
+
+BOOST_AUTO_TEST_CASE(are_served_far_worse_if_connections_open_and_are_reset) {
+    play({0, 1, 3, 4, 6}, upstream_links::resetting);
+    check();
+}
+
 BOOST_AUTO_TEST_CASE(are_served_far_worse_if_a_zone_hangs) {
     play({0, 3, 6}, upstream_links::hanging);
     check();
--- a/tests/gateway/upstream_reach_test.cpp
+++ b/tests/gateway/upstream_reach_test.cpp
@@ -15,14 +15,17 @@
     time_point now{seconds(100)};
 
     /// Plays a round; returns whether the state has changed.
-    bool play_round(std::size_t accepted) {
+    /// \param answered  number of checks that a searcher answers
+    /// \param other     result of the other checks
+    bool play_round(std::size_t answered, check_result other = check_result::no_answer) {
         const auto checks = reach.checks_due(now);
         BOOST_TEST_REQUIRE(checks > 0U);
         reach.begin_round(checks, now);
         now += milliseconds(50);
         bool changed = false;
         for (std::size_t n = 0; n < checks; ++n) {
-            changed = reach.take_check(n < accepted, now) || changed;
+            const auto result = n < answered ? check_result::answered : other;
+            changed = reach.take_check(result, now) || changed;
         }
         return changed;
     }
@@ -41,7 +44,7 @@
 BOOST_AUTO_TEST_CASE(is_checked_after_connections_that_fail_in_a_row) {
     fail_connections(2);
     BOOST_TEST(reach.checks_due(now) == 0U);
-    reach.note_connected(now);
+    reach.note_connected();
     fail_connections(2);
     BOOST_TEST(reach.checks_due(now) == 0U);
     now += seconds(3);
@@ -95,7 +98,7 @@
     BOOST_TEST(!reach.cut_off());
 }
 
-BOOST_AUTO_TEST_CASE(is_back_with_the_first_connection) {
+BOOST_AUTO_TEST_CASE(is_back_with_the_first_answer) {
     fail_connections(3);
     play_round(0);
     play_round(0);
@@ -103,11 +106,49 @@
     now += milliseconds(250);
     BOOST_TEST(!play_round(0));
     now += milliseconds(250);
+    BOOST_TEST(!play_round(0, check_result::silent)); // Connections open, and nobody answers.
+    BOOST_TEST(reach.cut_off());
+    now += milliseconds(250);
     BOOST_TEST(play_round(1));
     BOOST_TEST(!reach.cut_off());
     BOOST_TEST(!reach.next_wakeup().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(is_checked_after_connections_that_are_lost_in_a_row) {
+    for (int n = 0; n < 3; ++n) {
+        BOOST_TEST(reach.checks_due(now) == 0U);
+        reach.note_connected(); // The handshake was completed each time.
+        reach.note_loss(now);
+    }
+    BOOST_TEST(reach.checks_due(now) == 4U);
+    reach.note_answer(now);
+    BOOST_TEST(reach.checks_due(now) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_lost_if_connections_open_and_no_searcher_answers) {
+    reach.note_answer(now);
+    reach.note_silence(now + milliseconds(1));
+    BOOST_TEST(!play_round(0, check_result::silent));
+    BOOST_TEST(play_round(0, check_result::silent));
+    BOOST_TEST(reach.cut_off());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_lost_while_slow_searchers_answer_at_last) {
+    reach.note_answer(now);
+    for (int n = 0; n < 10; ++n) {
+        reach.note_silence(now + milliseconds(1));
+        const auto checks = reach.checks_due(now);
+        reach.begin_round(checks, now);
+        now += milliseconds(200);
+        reach.note_answer(now); // To some request that was sent long before.
+        for (std::size_t it = 0; it < checks; ++it) {
+            BOOST_TEST(!reach.take_check(check_result::silent, now));
+        }
+        now += milliseconds(400);
+    }
+    BOOST_TEST(!reach.cut_off());
+}
+
 BOOST_AUTO_TEST_CASE(needs_no_checks_on_a_host_that_knows_no_searcher) {
     fail_connections(3);
     reach.begin_round(0, now);
--- a/tests/shell/relay_runner_test.cpp
+++ b/tests/shell/relay_runner_test.cpp
@@ -33,7 +33,8 @@
     std::string address;
     std::string peer_address;
 
-    gateway_side(event_loop& loop, const std::string& searcher, std::uint64_t version)
+    gateway_side(event_loop& loop, const std::string& searcher, std::uint64_t version,
+                 duration objective = seconds(1))
         : front(
               loop, binding, {1U << 20U, 8192, 64, 64}, 1U << 20U,
               {{"a", "north", {{"a", "north"}}}, {}, {}, 1}, [] { return duration::zero(); },
@@ -47,14 +48,14 @@
         relay.start();
         auto table = std::make_shared<routing_table>();
         table->version = version;
-        table->services["desk"] = {"desk", 8, 0.0};
+        table->services["desk"] = {"desk", 8, 0.0, "/alive"};
         gateway_route route;
         route.name = "r";
         route.host = "127.0.0.1";
         route.prefix = "/";
         route.repeat = repeatability::at_most_once;
         route.timeout = seconds(2);
-        route.objective = seconds(1);
+        route.objective = objective;
         route.max_attempts = 2;
         route.plan = single_service{"desk"};
         table->routes.push_back(route);
@@ -128,6 +129,25 @@
     BOOST_TEST(left <= 1500);
 }
 
+BOOST_AUTO_TEST_CASE(passes_requests_on_if_the_path_to_the_searchers_accepts_connections_and_is_mute) {
+    scripted_server mute(loop, [](const std::string&) { return scripted_server::reply{}; });
+    gateway_side behind(loop, mute.address, 3, milliseconds(100));
+    behind.front.decisions().set_peers({{sound.peer_address, "a"}});
+    int answered = 0;
+    for (int n = 0; n < 3; ++n) {
+        auto it = request("mute" + std::to_string(n));
+        it.url = "http://" + behind.address + "/x";
+        client.send(it, [&](const http_response&) { ++answered; });
+    }
+    BOOST_REQUIRE(run_until([&] { return behind.front.decisions().reach().cut_off(); }));
+    http_response response;
+    auto it = request("later");
+    it.url = "http://" + behind.address + "/x";
+    client.send(it, [&](const http_response& last) { response = last; });
+    BOOST_REQUIRE(run_until([&] { return response.status != 0; }));
+    BOOST_TEST(response.status == 201);
+}
+
 BOOST_AUTO_TEST_CASE(finds_one_that_another_gateway_names) {
     gateway_side declining(loop, unused_address(), 2); // Its configuration is older.
     peer_server old_build(loop, {});                   // It does not serve questions.
