Begin a round of checks only after three silent requests

Three requests that should have been answered since the last answer of any searcher are a reason now, as three lost connections are.

The stranded tests hold, with hanging, refused, mute and resetting paths.

--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -46,7 +46,7 @@
 
 void gateway::note_silence(const request_part& part, time_point now) {
     if (!part.open.empty() && now >= part.open.back().hedge_at) {
-        reach_.note_silence(part.open.back().sent);
+        reach_.note_silence(part.open.back().sent, now);
     }
 }
 
--- a/src/skylarkseam/gateway/upstream_reach.cpp
+++ b/src/skylarkseam/gateway/upstream_reach.cpp
@@ -36,7 +36,13 @@
 void upstream_reach::note_answer(time_point now) {
     last_answer_ = now;
     losses_.count = 0;
-    silence_ = false;
+    silences_.count = 0;
+}
+
+void upstream_reach::note_silence(time_point sent, time_point now) {
+    if (last_answer_ < sent) {
+        silences_.add(now);
+    }
 }
 
 std::size_t upstream_reach::checks_due(time_point now) const {
@@ -54,7 +60,7 @@
     if (failed_rounds_ > 0) {
         return round_began_;
     }
-    if (silence_ || connect_failures_.suspicious() || losses_.suspicious()) {
+    if (silences_.suspicious() || connect_failures_.suspicious() || losses_.suspicious()) {
         return round_began_ + round_interval;
     }
     return refused_ ? std::optional(std::max(round_began_ + round_interval, last_success_ + refusal_interval))
@@ -68,7 +74,7 @@
     connected_in_round_ = false;
     connect_failures_.count = 0;
     losses_.count = 0;
-    silence_ = false;
+    silences_.count = 0;
     refused_ = false;
 }
 
--- a/src/skylarkseam/gateway/upstream_reach.hpp
+++ b/src/skylarkseam/gateway/upstream_reach.hpp
@@ -34,7 +34,7 @@
     /// A connection ended before the request on it was answered.
     void note_loss(time_point now) { losses_.add(now); }
     /// A request that was sent at `sent` has no answer, although it should.
-    void note_silence(time_point sent) { silence_ = silence_ || last_answer_ < sent; }
+    void note_silence(time_point sent, time_point now);
 
     /// A request was refused because its searchers are faulty. That may be their own fault, so it is looked
     /// into less often.
@@ -69,7 +69,7 @@
     time_point last_answer_{};
     failure_run connect_failures_; ///< Since the last connection that opened
     failure_run losses_;           ///< Since the last answer
-    bool silence_ = false;         ///< Whether a request should have been answered since the last answer
+    failure_run silences_;         ///< Requests that should have been answered since the last answer
     bool refused_ = false;         ///< Whether requests were refused since the last round
     time_point round_began_{};
     time_point last_success_{}; ///< Time of the last check that succeeded
