Estimate the typical latency from a window of samples

Hypothesis: the running median moves by 1/32 with each sample, and the parts of a query arrive with the fastest first, so that it stands far too high when the query ends, which is when the next one is sent: a log of one host shows 25 to 33 ms. Partial and late answers on sites with many shards should become fewer.

Change: the median of the latest 128 samples, computed again each 16.

--- a/src/skylarkseam/gateway/latency_estimate.cpp
+++ b/src/skylarkseam/gateway/latency_estimate.cpp
@@ -6,11 +6,10 @@
 namespace skylarkseam {
 namespace {
 
-/// Number of first samples that move the median by the coarse step.
-constexpr std::uint32_t fast_samples = 16;
-/// Each of the first samples moves the median by 1/5 of its value.
-constexpr std::int64_t coarse_step_divisor = 5;
-constexpr std::int64_t fine_step_divisor = 32; ///< Each later sample moves the median by 1/32 of its value.
+/// Number of samples from which on their median replaces the first guess.
+constexpr std::size_t min_samples = 5;
+/// Number of samples after which the median of a full window is computed again.
+constexpr std::size_t update_interval = 16;
 /// Time in which the shortest latency doubles without new minima. It is long compared with an overload, so
 /// that queueing time is not taken for processing time, and short compared with changes of the searchers or
 /// their work.
@@ -28,11 +27,22 @@
 } // namespace
 
 void latency_estimate::add(duration latency, time_point now) {
-    const auto divisor = samples_ < fast_samples ? coarse_step_divisor : fine_step_divisor;
-    ++samples_;
-    const auto step = std::max(duration(1), median_ / divisor);
-    median_ = std::max(min_median, latency > median_ ? median_ + step : median_ - step);
-    if (samples_ == 1 || latency < shortest_) {
+    const bool first = window_.empty();
+    if (window_.size() < window_size) {
+        window_.push_back(latency);
+    } else {
+        window_[next_] = latency;
+        next_ = (next_ + 1) % window_size;
+    }
+    ++since_update_;
+    if (window_.size() >= min_samples && (window_.size() < window_size || since_update_ >= update_interval)) {
+        since_update_ = 0;
+        auto sorted = window_;
+        const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+        std::nth_element(sorted.begin(), middle, sorted.end());
+        median_ = std::max(min_median, *middle);
+    }
+    if (first || latency < shortest_) {
         shortest_ = std::max(min_median, latency);
     } else {
         const auto passed =
--- a/src/skylarkseam/gateway/latency_estimate.hpp
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -5,10 +5,12 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace skylarkseam {
 
-/// A running median, which is robust against the few requests that meet a paused or slow searcher.
+/// The latest latencies. Their median is robust against the few requests that meet a paused or slow searcher,
+/// and does not depend on their order: the parts of a query over many shards arrive with the fastest first.
 class latency_estimate {
 public:
     /// \param first_guess  estimate to use until there are samples
@@ -22,10 +24,14 @@
     [[nodiscard]] duration shortest() const { return shortest_; }
 
 private:
+    static constexpr std::size_t window_size = 128;
+
+    std::vector<duration> window_; ///< The latest samples, `window_size` at most.
+    std::size_t next_ = 0;         ///< Index of the oldest sample once the window is full.
+    std::size_t since_update_ = 0; ///< Samples since `median_` was computed.
     duration median_;
     duration shortest_;
     time_point shortest_updated_at_{}; ///< Time up to which the growth of `shortest_` has been applied.
-    std::uint32_t samples_ = 0;
 };
 
 /// Round-trip times to the zones, measured as the time to open a connection.
