Give a slow searcher little more time before a second attempt

Hypothesis: the factor (up to 2) only delays; really slow searchers are those whose second attempt matters most.

Change: at most 1.3 times the delay, which covers searchers that are slower by a constant factor.

--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -15,7 +15,7 @@
 constexpr double early_hedge_delay_factor = 2.0;
 /// Lower bound of the hedge delay; covers the processing time of a busy host itself.
 constexpr duration min_hedge_delay = milliseconds(12);
-constexpr double max_hedge_slowness = 2.0;
+constexpr double max_hedge_slowness = 1.3;
 /// Time until the next hedging attempt if the retry budget or the connection slots were used up.
 constexpr duration hedge_retry_interval = milliseconds(40);
 /// Age of the latest attempt from which a request that has missed its objective may be hedged.
--- a/tests/gateway/hedging_test.cpp
+++ b/tests/gateway/hedging_test.cpp
@@ -82,6 +82,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_searcher_that_has_paused_once)
+
+BOOST_AUTO_TEST_CASE(gets_little_more_time_than_others_before_a_second_attempt) {
+    gateway_world world{std::vector<std::string>{"a"}};
+    world.work = milliseconds(15);
+    world.add_service("near", 4, {"a", "b"});
+    world.add_service("other", 4, {"a", "b"});
+    world.add_route(shard_route({"near", "other"}));
+    world.publish();
+    for (int n = 0; n < 60; ++n) {
+        world.send_request("/search/x");
+        world.run_for(milliseconds(100));
+    }
+    auto& near = world.at("near", 0).behaviour;
+    near.pause = milliseconds(100);
+    near.pause_every = seconds(1000);
+    near.pause_offset = -world.now.time_since_epoch(); // It pauses now, once.
+    world.send_request("/search/x");
+    world.run_for(milliseconds(300));
+    near.unreachable = true;
+    const auto sent = world.now;
+    world.send_request("/search/x");
+    world.run_for(milliseconds(200));
+    const auto second = world.at("near", 1).arrival_log.back().when - gateway_world::cross_region - sent;
+    BOOST_TEST((second > milliseconds(20)));
+    BOOST_TEST((second < milliseconds(45)), second.count() << " us");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_distant_searcher)
 
 BOOST_AUTO_TEST_CASE(does_not_look_slow_because_connections_to_it_have_to_be_opened) {
