Cut an answer short as late as the client's distance allows

Hypothesis: partial answers fall, lateness does not rise, if the reserve follows what is observed.

Change: two round trips to the client as the kernel measures them on its connection (TCP_INFO), 3 ms to merge and write, and the 95th percentile of how late this host runs its timers. Where the round trip is not known, as for a request that another gateway passed on, about the reserve of before.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -20,8 +20,9 @@
     request_token token = 0;
     std::string id; ///< Request ID as sent by the client.
     std::string host;
-    std::string path;                  ///< Path without the query string.
-    std::optional<duration> time_left; ///< Time that the client will still wait.
+    std::string path;                     ///< Path without the query string.
+    std::optional<duration> time_left;    ///< Time that the client will still wait.
+    std::optional<duration> round_trip{}; ///< Time to the client and back, if it is known.
     /// Hash of what the client sent except its request ID and the time it waits. A request that a client
     /// repeats has the same fingerprint.
     std::string fingerprint{};
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -5,9 +5,7 @@
 namespace skylarkseam {
 namespace {
 
-constexpr duration reply_reserve = milliseconds(15); ///< Time for the answer to reach the client.
-/// Percentage of the objective that is reserved in addition to `reply_reserve`.
-constexpr std::int64_t objective_reserve_percent = 8;
+constexpr duration reply_reserve = milliseconds(15); ///< Time before a deadline for the answer's way.
 
 /// Time that a request waits for the gateway to become ready; this covers requests that arrive at the very
 /// end of the startup.
@@ -176,8 +174,7 @@
     run->table = table_;
     run->route = &route;
     run->arrived = now;
-    const auto reserve = reply_reserve + route.objective * objective_reserve_percent / 100;
-    run->objective_end = now + std::max(route.objective / 2, route.objective - reserve);
+    run->objective_end = now + route.objective - answer_reserve_.of(route.objective, request.round_trip);
     run->wait_deadline = now + route.objective / wait_objective_divisor;
     run->deadline = deadline_of(request, route, now);
     run->objective_end = std::min(run->objective_end, run->deadline);
@@ -235,6 +232,9 @@
         startup_queue_.erase(startup_queue_.begin());
         refuse(request, refusal_reason::not_ready, out);
     }
+    if (const auto due = run_timers_.next(); due && *due <= now) {
+        answer_reserve_.note_timer(*due, now);
+    }
     while (const auto token = run_timers_.pop_due(now)) {
         const auto found = runs_.find(*token);
         if (found == runs_.end()) {
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <skylarkseam/core/timer_heap.hpp>
+#include <skylarkseam/gateway/answer_reserve.hpp>
 #include <skylarkseam/gateway/crash_suspects.hpp>
 #include <skylarkseam/gateway/directory.hpp>
 #include <skylarkseam/gateway/extra_budget.hpp>
@@ -281,6 +282,7 @@
     std::unordered_map<request_token, relayed_request> relays_;
     attempt_id last_attempt_id_ = 0;
     timer_heap<request_token> run_timers_;
+    answer_reserve answer_reserve_;
     timer_heap<attempt_id> probe_timers_;
     std::map<std::string, latency_estimate> latency_estimates_; ///< Keyed by route name.
     std::map<std::string, extra_budget> budgets_;               ///< Keyed by service name.
--- a/src/skylarkseam/gateway/latency_estimate.cpp
+++ b/src/skylarkseam/gateway/latency_estimate.cpp
@@ -27,20 +27,12 @@
 } // namespace
 
 void latency_estimate::add(duration latency, time_point now) {
-    const bool first = window_.empty();
-    if (window_.size() < window_size) {
-        window_.push_back(latency);
-    } else {
-        window_[next_] = latency;
-        next_ = (next_ + 1) % window_size;
-    }
+    const bool first = window_.size() == 0;
+    window_.add(latency);
     ++since_update_;
-    if (window_.size() >= min_samples && (window_.size() < window_size || since_update_ >= update_interval)) {
+    if (window_.size() >= min_samples && (!window_.full() || since_update_ >= update_interval)) {
         since_update_ = 0;
-        auto sorted = window_;
-        const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-        std::nth_element(sorted.begin(), middle, sorted.end());
-        median_ = std::max(min_median, *middle);
+        median_ = std::max(min_median, window_.quantile(0.5));
     }
     if (first || latency < shortest_) {
         shortest_ = std::max(min_median, latency);
--- a/src/skylarkseam/gateway/latency_estimate.hpp
+++ b/src/skylarkseam/gateway/latency_estimate.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <skylarkseam/gateway/known_searcher.hpp>
+#include <skylarkseam/gateway/sample_window.hpp>
 
 #include <map>
 #include <string>
-#include <vector>
 
 namespace skylarkseam {
 
@@ -24,10 +24,7 @@
     [[nodiscard]] duration shortest() const { return shortest_; }
 
 private:
-    static constexpr std::size_t window_size = 128;
-
-    std::vector<duration> window_; ///< The latest samples, `window_size` at most.
-    std::size_t next_ = 0;         ///< Index of the oldest sample once the window is full.
+    sample_window window_{128};
     std::size_t since_update_ = 0; ///< Samples since `median_` was computed.
     duration median_;
     duration shortest_;
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -154,6 +154,7 @@
         it->request.method = method;
         reading.erase(it.get());
         collect_fields(*it);
+        it->request.round_trip = round_trip_of(socket_of(*it));
         set_idle_timeout(it->connection);
         if (exchanges.size() >= limits.open_requests) {
             refuse(it, refusal(503, "overloaded", "too many open requests"));
--- a/src/skylarkseam/shell/http_server.hpp
+++ b/src/skylarkseam/shell/http_server.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
     std::string body;
     std::vector<http_header> headers;   ///< names in lower case
     std::vector<http_header> arguments; ///< of the query string, decoded
+    std::optional<duration> round_trip; ///< to the client and back; absent if it is not known
 
     [[nodiscard]] std::string header(const std::string& name) const;
     [[nodiscard]] std::string argument(const std::string& name) const;
--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -180,6 +180,7 @@
     out.host = request.header("host");
     out.path = request.path;
     out.time_left = parse_ms(request.header(names.time_left));
+    out.round_trip = request.round_trip;
     out.fingerprint = fingerprint_of(request);
     return out;
 }
--- a/src/skylarkseam/shell/socket_address.cpp
+++ b/src/skylarkseam/shell/socket_address.cpp
@@ -86,6 +86,15 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
 }
 
+std::optional<duration> round_trip_of(int fd) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_rtt == 0) {
+        return std::nullopt;
+    }
+    return microseconds(info.tcpi_rtt);
+}
+
 std::string bound_address(int fd) {
     sockaddr_in raw{};
     socklen_t size = sizeof raw;
--- a/src/skylarkseam/shell/socket_address.hpp
+++ b/src/skylarkseam/shell/socket_address.hpp
@@ -1,6 +1,9 @@
 // IP addresses as "ip:port" texts, and the sockets that are opened by them.
 #pragma once
 
+#include <skylarkseam/core/time.hpp>
+
+#include <optional>
 #include <string>
 
 namespace skylarkseam {
@@ -19,6 +22,9 @@
 /// `unacknowledged_ms`, or `probes` keep-alive probes a second apart after `idle_s` without traffic, end it.
 void limit_silence(int fd, int unacknowledged_ms, int idle_s, int probes);
 
+/// The round-trip time of a connection as the kernel has measured it; absent if it has not.
+[[nodiscard]] std::optional<duration> round_trip_of(int fd);
+
 /// The local address of a socket.
 [[nodiscard]] std::string bound_address(int fd);
 
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -141,6 +141,7 @@
     request.host = "search.example";
     request.path = path;
     request.time_left = patience;
+    request.round_trip = client_round_trip;
     request.fingerprint = path;
     requests_[token] = {request.id, path, now};
     handle(host, gateway_event::request_arrived{request});
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -125,7 +125,8 @@
     [[nodiscard]] std::map<std::string, int> runs_of(const std::string& service) const;
 
     time_point now{seconds(100)};
-    duration work = milliseconds(20); ///< Mean processing time of a request at a searcher.
+    std::optional<duration> client_round_trip; ///< As the hosts have measured it; absent if they have not.
+    duration work = milliseconds(20);          ///< Mean processing time of a request at a searcher.
     std::vector<std::unique_ptr<gateway>> hosts;
     /// Keyed by service name.
     std::map<std::string, std::vector<std::unique_ptr<model_searcher>>> searchers;
