--- a/src/skylarkseam/gateway/relay_peers.cpp
+++ b/src/skylarkseam/gateway/relay_peers.cpp
@@ -148,7 +148,7 @@
     const auto end = fresh == due.begin() ? due.end() : fresh;
     const auto at = due.begin() + random_(static_cast<std::uint32_t>(end - due.begin()));
     (*at)->asked_at = now;
-    const auto address = (*at)->who.address;
+    auto address = (*at)->who.address;
     due.erase(at);
     return address;
 }
--- a/src/skylarkseam/gateway/relay_peers.hpp
+++ b/src/skylarkseam/gateway/relay_peers.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace skylarkseam {
@@ -95,7 +96,11 @@
         distance network_distance = distance::same_zone;
         bool unknown = false;
 
-        friend auto operator<=>(const preference&, const preference&) = default;
+        friend bool operator==(const preference&, const preference&) = default;
+        friend bool operator<(const preference& a, const preference& b) {
+            return std::tie(a.zone_cut_off, a.network_distance, a.unknown) <
+                   std::tie(b.zone_cut_off, b.network_distance, b.unknown);
+        }
     };
     [[nodiscard]] preference preference_of(const peer& it, time_point now) const;
 
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -152,6 +152,7 @@
 
     void take_members(const std::vector<gateway_identity>& members) {
         std::vector<relay_peer> peers;
+        peers.reserve(members.size());
         for (const auto& it : members) {
             peers.push_back({it.address, it.zone});
         }
--- a/tests/gateway/upstream_reach_test.cpp
+++ b/tests/gateway/upstream_reach_test.cpp
@@ -251,8 +251,10 @@
 
 BOOST_AUTO_TEST_CASE(is_asked_for_until_enough_take_requests) {
     relay_peers peers(view, 1);
+    constexpr int known_peers = 100;
     std::vector<relay_peer> known;
-    for (int n = 0; n < 100; ++n) {
+    known.reserve(known_peers);
+    for (int n = 0; n < known_peers; ++n) {
         known.push_back({"p" + std::to_string(n), n % 2 == 0 ? "a1" : "b1"});
     }
     peers.set(known);
