Answer liveness requests in the soak's searchers

The users' protocol has them answer it as any other request: after a slot is free, or 503. Only a GET of that path without a request id is taken for one; anything else is checked as before, and a stated limit counts these requests too.

--- a/soak/outside.py
+++ b/soak/outside.py
@@ -202,6 +202,8 @@
             await asyncio.sleep(0.2)
             if writer.is_closing():
                 return False
+        if (method, target, request_id, body) == ("GET", "/health", "", b""):
+            return await self.answer_liveness(writer)
         self.world.checks.arrived(self, request_id, method, target, body)
         deadly = self.world.deadly.get(target)
         if deadly:
@@ -259,6 +261,21 @@
         writer.write(answer)
         return True
 
+    async def answer_liveness(self, writer):
+        """Answers a liveness request, which waits for a slot or is refused as any other request."""
+        own = self.name
+        self.world.checks.arrived_under_limit(self, writer)
+        if self.wants_nothing_s > 0 or self.queued >= self.QUEUE:
+            writer.write(wire.response(503, headers={"X-Not-Executed": "1"}))
+            return True
+        self.queued += 1
+        async with self.free:
+            if self.ended or self.name != own:
+                return False
+            self.queued -= 1
+        writer.write(wire.response(200, headers={"X-Instance-Id": own, **self.announcements(writer)}))
+        return True
+
     async def leave(self):
         """Drains, goes on serving for a while, and ends."""
         self.leaving = True
