--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import lib  # pylint: disable=wrong-import-position
 
-WARMUP_PER_S, BURST_FACTOR, SLACK = 6, 1.5, 5  # the last two as WarmupBurstFactor and WarmupSlack of the site
+WARMUP_PER_S, BURST_FACTOR, SLACK = 4, 1.5, 5  # the last two as WarmupBurstFactor and WarmupSlack of the site
 HEARTBEAT_S = 1.2  # HeartbeatMs of the settings
 COLD_S = 3.0       # WarmupS
 EVACUATED_S = 5.0  # for_s of `evacuate`
