--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,7 +23,7 @@
     store = lib.Store(record)
     await store.start()
     store.put("config", "main", lib.config(7, [lib.route("r-log", "/log/", "desk")], [lib.service("desk", warmup=WARMUP_PER_S)]))
-    searchers = [lib.Searcher(record, store, "desk", f"i-{zone}", zone, slots=8) for zone in lib.ZONES]
+    searchers = [lib.Searcher(record, store, "desk", f"i-{zone}", zone, slots=8) for zone in list(lib.ZONES)[:2]]
     for it in searchers:
         await it.start()
         it.register()
