Cancel what waits for its connection when its request is answered as not run

Cause: when a request ends, its attempts at faulty searchers stay open as probes, also those whose requests wait for their connections. That nothing had been sent made the answer "not run", and did not stop the sending.

Change: gateway::finish keeps no attempt of a request that is answered 503. Each of them waits for its connection at that moment, otherwise the answer would be 502 or 504, so the promise holds for all of them. Requests that are passed on and clients that leave were already handled so.

--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -248,7 +248,10 @@
     [[nodiscard]] static time_point deadline_of(const gateway_request& request, const gateway_route& route,
                                                 time_point now);
     [[nodiscard]] any_answer failure_of(const request_run& run, refusal_reason reason);
-    void end_attempts_of_run(request_run& run, time_point now, output& out);
+    /// Ends the open attempts of a request that is over.
+    /// \param keep_as_probes  whether attempts at faulty searchers stay open, as probes; one that waits for its
+    /// connection then still runs
+    void end_attempts_of_run(request_run& run, bool keep_as_probes, time_point now, output& out);
     void end_attempts_of_part(request_part& part, bool keep_as_probes, time_point now, output& out);
     void dispatch_waiting(const std::string& service, time_point now, output& out);
     [[nodiscard]] placement_request placement_request_for(const request_run& run, const request_part& part,
--- a/src/skylarkseam/gateway/gateway_answers.cpp
+++ b/src/skylarkseam/gateway/gateway_answers.cpp
@@ -135,18 +135,21 @@
     } else {
         ++counters_.partial;
     }
+    const auto* const refused = std::get_if<gateway_answer::refused>(&value);
+    const bool promised_not_run = refused != nullptr && refused->status == status_unavailable;
     runs_.erase(run->token);
     out.emplace_back(gateway_action::answer{run->token, std::move(value), run->summary(now)});
-    end_attempts_of_run(*run, now, out);
+    // An attempt that still waits for its connection would run after the promise if it were kept as a probe.
+    end_attempts_of_run(*run, !promised_not_run, now, out);
 }
 
-void gateway::end_attempts_of_run(request_run& run, time_point now, output& out) {
+void gateway::end_attempts_of_run(request_run& run, bool keep_as_probes, time_point now, output& out) {
     for (auto& part : run.parts) {
         const bool had_open = !part.open.empty();
         if (part.state == part_state::waiting) {
             wait_lists_[part.service].remove(run.token);
         }
-        end_attempts_of_part(part, true, now, out);
+        end_attempts_of_part(part, keep_as_probes, now, out);
         if (had_open) {
             dispatch_waiting(part.service, now, out);
         }
