Take the searchers of a zone that returns as cold until their reports must have arrived

Cause: how cold a searcher is was known from its status report alone, which is up to one interval old. directory::set_evacuated took the searchers of a returning zone back as warm, though nothing had been sent to them that could have shown their state, and a zone is evacuated while they are replaced. Evacuations and registrations are watched separately, so an older report may arrive after the return; a report that says "warm" is therefore no end.

Change: directory::may_be_cold holds from the return for as long as a searcher of the service stays cold (WarmupS, read by the adapter now), and for six seconds at most. Placement and the choice of searchers for liveness requests use it in place of cold_until.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -119,12 +119,15 @@
     }
 }
 
-void directory::set_evacuated(const std::set<std::string>& zones) {
+void directory::set_evacuated(const std::set<std::string>& zones, time_point now) {
     evacuated_ = zones;
     for (const auto& [id, it] : by_id_) {
         const bool out = zones.contains(it->record.zone);
         if (out != it->evacuated) {
             it->evacuated = out;
+            if (!out) {
+                it->unreported_since = now;
+            }
             on_change_(*it, out ? "evacuated" : "zone_back", "zone " + it->record.zone);
         }
     }
@@ -189,6 +192,12 @@
     return it.leaving && now >= *it.leaving + timing_.drain_grace;
 }
 
+bool directory::may_be_cold(const known_searcher& it, duration warm_up, time_point now) const {
+    const bool unreported =
+        it.unreported_since && now - *it.unreported_since < std::min(warm_up, timing_.report_time);
+    return unreported || now < it.cold_until;
+}
+
 void directory::drop(const std::string& id) {
     const auto found = by_id_.find(id);
     if (found == by_id_.end()) {
--- a/src/skylarkseam/gateway/directory.hpp
+++ b/src/skylarkseam/gateway/directory.hpp
@@ -32,6 +32,8 @@
     /// Time after which a draining searcher gets no requests at all, even if no other searcher is available;
     /// counted from the earliest moment at which its entry may have been written.
     duration drain_grace = milliseconds(2500);
+    /// Time in which a report of a searcher is written and reaches every host.
+    duration report_time = seconds(6);
     /// Time after the store has returned from an older copy of its data in which an entry does not bring a
     /// leaving searcher back: the copy may be older than the searcher's last entry.
     duration restore_grace = seconds(6);
@@ -64,7 +66,8 @@
     /// Handles the store's return from an older copy of its data.
     void note_store_restored(time_point now) { restored_until_ = now + timing_.restore_grace; }
 
-    void set_evacuated(const std::set<std::string>& zones);
+    /// Sets the zones whose searchers get no work. Those of a zone that returns may be cold.
+    void set_evacuated(const std::set<std::string>& zones, time_point now);
 
     /// Deletes the searchers whose entries were removed more than `removal_grace` ago, and takes the entries
     /// that were held back after a return of the store.
@@ -81,6 +84,9 @@
     [[nodiscard]] std::size_t count(searcher_fault fault) const;
     [[nodiscard]] const std::map<std::string, known_searcher_ptr>& all() const { return by_id_; }
     [[nodiscard]] bool drained(const known_searcher& it, time_point now) const;
+    /// Whether the searcher is cold, or may be and its report has not arrived yet.
+    /// \param warm_up  longest time for which a searcher of its service stays cold
+    [[nodiscard]] bool may_be_cold(const known_searcher& it, duration warm_up, time_point now) const;
     [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
 
 private:
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -218,7 +218,7 @@
     /// Searchers for a round of checks; those that may get a liveness request go first.
     [[nodiscard]] std::vector<known_searcher_ptr> searchers_to_check(std::size_t count, time_point now);
     /// Whether a liveness request breaks no limit of the searcher.
-    [[nodiscard]] static bool takes_liveness_requests(const known_searcher& it, time_point now);
+    [[nodiscard]] bool takes_liveness_requests(const known_searcher& it, time_point now) const;
     [[nodiscard]] duration shortest_objective() const;
     void take_reach_check(attempt_id id, check_result result, time_point now, output& out);
     /// Asks other hosts whether they take requests, while this one reaches no searcher.
@@ -249,8 +249,8 @@
                                                 time_point now);
     [[nodiscard]] any_answer failure_of(const request_run& run, refusal_reason reason);
     /// Ends the open attempts of a request that is over.
-    /// \param keep_as_probes  whether attempts at faulty searchers stay open, as probes; one that waits for its
-    /// connection then still runs
+    /// \param keep_as_probes  whether attempts at faulty searchers stay open, as probes; one that waits for
+    /// its connection then still runs
     void end_attempts_of_run(request_run& run, bool keep_as_probes, time_point now, output& out);
     void end_attempts_of_part(request_part& part, bool keep_as_probes, time_point now, output& out);
     void dispatch_waiting(const std::string& service, time_point now, output& out);
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -95,8 +95,11 @@
     return chosen;
 }
 
-bool gateway::takes_liveness_requests(const known_searcher& it, time_point now) {
-    return !it.evacuated && !it.backing_off(now) && !it.rate.limit() && now >= it.cold_until;
+bool gateway::takes_liveness_requests(const known_searcher& it, time_point now) const {
+    const auto service = table_->services.find(it.record.service);
+    const bool cold =
+        service == table_->services.end() || searchers_.may_be_cold(it, service->second.warm_up, now);
+    return !it.evacuated && !it.backing_off(now) && !it.rate.limit() && !cold;
 }
 
 duration gateway::shortest_objective() const {
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -72,6 +72,9 @@
     bool check_open = false; ///< True while it is being checked whether the searcher accepts connections.
     time_point checked_at{}; ///< Time at which the last such check began.
     time_point cold_until{};
+    /// Time at which the searcher may have become cold without a report of it: the end of its zone's
+    /// evacuation.
+    std::optional<time_point> unreported_since{};
 
     std::vector<open_attempt> open;
     double slowness = 1.0;     ///< EWMA of the ratio between the searcher's latency and the typical one.
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -33,8 +33,7 @@
     return std::find(list.begin(), list.end(), searcher) != list.end();
 }
 
-double effective_slowness(const known_searcher& it, time_point now) {
-    const bool cold = now < it.cold_until;
+double effective_slowness(const known_searcher& it, bool cold, time_point now) {
     const bool observation_expired = it.open.empty() && now - it.last_ended > observation_ttl;
     const double slowness = observation_expired ? 1.0 : it.slowness;
     return cold ? std::max(slowness, cold_slowness) : slowness;
@@ -42,8 +41,8 @@
 
 /// True if the rate limit of a cold searcher allows another request. The limit applies to all hosts together
 /// and is divided among the hosts in the searcher's zone.
-bool cold_rate_allows(known_searcher& it, const placement_request& request) {
-    if (request.now >= it.cold_until || request.service->cold_rate <= 0.0) {
+bool cold_rate_allows(known_searcher& it, bool cold, const placement_request& request) {
+    if (!cold || request.service->cold_rate <= 0.0) {
         return true;
     }
     if (it.network_distance != distance::same_zone) {
@@ -71,7 +70,8 @@
     const double queue = 1.0 + open_request_weight * static_cast<double>(it.open.size()) / slots;
     const double excess = std::max(0.0, (static_cast<double>(it.open.size()) + 1.0 - slots) / slots);
     double work = static_cast<double>(request.typical_latency.count());
-    work *= effective_slowness(it, request.now) * (queue + excess);
+    const bool cold = searchers_.may_be_cold(it, request.service->warm_up, request.now);
+    work *= effective_slowness(it, cold, request.now) * (queue + excess);
     work += refusal_cost * it.failure_rate * static_cast<double>(request.objective.count());
     auto total = round_trip + duration(static_cast<std::int64_t>(work));
     if (it.stalled(request.now, round_trip)) {
@@ -105,7 +105,8 @@
             }
             continue;
         }
-        if (!cold_rate_allows(*it, request)) {
+        const bool cold = searchers_.may_be_cold(*it, request.service->warm_up, request.now);
+        if (!cold_rate_allows(*it, cold, request)) {
             const bool no_other =
                 best.outcome == placement_outcome::none || best.outcome == placement_outcome::backing_off;
             best.outcome = no_other ? placement_outcome::full : best.outcome;
--- a/src/skylarkseam/gateway/routing.hpp
+++ b/src/skylarkseam/gateway/routing.hpp
@@ -62,6 +62,8 @@
     /// Requests per second that a cold searcher can handle from all hosts; 0 if there is no limit.
     double cold_rate = 0.0;
     std::string liveness_path{}; ///< Path of the searchers' liveness check; empty if there is none.
+    /// Longest time for which a searcher stays cold; the maximum if it is not stated.
+    duration warm_up = duration::max();
 };
 
 struct client_limits {
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -115,7 +115,7 @@
         knowledge_handlers out;
         out.on_searchers = [this](const auto& changes) { take_searchers(changes); };
         out.on_evacuations = [this](const auto& zones) {
-            front_.update([&](directory& searchers) { searchers.set_evacuated(zones); });
+            front_.update([&](directory& searchers) { searchers.set_evacuated(zones, loop_.now()); });
         };
         out.on_routing = [this](auto table) { take_table(std::move(table)); };
         out.on_store_restored = [this] {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -102,6 +102,7 @@
     void cold_rate(const std::string& service, double per_second) {
         table_->services[service].cold_rate = per_second;
     }
+    void warm_up(const std::string& service, duration time) { table_->services[service].warm_up = time; }
     void add_route(gateway_route route);
     void publish(); ///< Sends the routes and services to every gateway.
 
@@ -116,6 +117,10 @@
     /// Ends a searcher's process: its connections are reset and new ones are refused. Its entry lapses, and
     /// after `down_time` another process starts at the address.
     void crash(model_searcher& it);
+    /// Sets the zones whose searchers get no work.
+    void set_evacuated(const std::set<std::string>& zones);
+    /// A status report of the searcher reaches every host.
+    void report(const searcher_record& record);
     /// Generates requests at a steady rate to all hosts for `time`, each with a path of its own below `path`.
     void load(const std::string& path, double per_second, duration time);
     /// Generates requests at a steady rate to the hosts of one zone for `time`.
--- a/tests/gateway/searcher_crashes.cpp
+++ b/tests/gateway/searcher_crashes.cpp
@@ -12,6 +12,14 @@
     }
 }
 
+void gateway_world::set_evacuated(const std::set<std::string>& zones) {
+    for_each_host([&](directory& known) { known.set_evacuated(zones, now); });
+}
+
+void gateway_world::report(const searcher_record& record) {
+    for_each_host([&](directory& known) { known.put(record, now); });
+}
+
 void gateway_world::crash(model_searcher& it) {
     constexpr duration lapse_time = milliseconds(2400);
     it.ended = true;
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -133,6 +133,8 @@
     BOOST_TEST(it.routes[1].home_regions.at(0) == "north");
     BOOST_TEST(it.services.at("s1").max_connections == 36U);
     BOOST_TEST(it.services.at("s1").liveness_path == "/h");
+    BOOST_TEST((it.services.at("s1").warm_up == seconds(3)));
+    BOOST_TEST((it.services.at("s2").warm_up == duration::max()));
     BOOST_TEST(it.limits.body_bytes == 262144U);
     BOOST_TEST((it.limits.header_timeout == seconds(3)));
     BOOST_TEST((it.limits.idle_timeout == seconds(15)));
