Begin each cold period with a random part of a request on each host

Not reported by users.

Cause: the allowance of at most one request was kept from one cold period to the next, full by then. In a first period all hosts began with none and came to their first request together.

Change: a new cold period, after an evacuation or by a report, forgets the allowance; the first refill begins at a random part of a request, as the shares of stated rates do.

--- a/src/skylarkseam/gateway/directory.cpp
+++ b/src/skylarkseam/gateway/directory.cpp
@@ -89,6 +89,9 @@
         known.leaving = left_at;
     }
     if (record.cold_for != known.record.cold_for) {
+        if (record.cold_for > known.record.cold_for) {
+            known.cold_allowance_at.reset();
+        }
         known.cold_until = now + record.cold_for;
     }
     known.record = record;
@@ -127,6 +130,7 @@
             it->evacuated = out;
             if (!out) {
                 it->unreported_since = now;
+                it->cold_allowance_at.reset();
             }
             on_change_(*it, out ? "evacuated" : "zone_back", "zone " + it->record.zone);
         }
--- a/src/skylarkseam/gateway/known_searcher.cpp
+++ b/src/skylarkseam/gateway/known_searcher.cpp
@@ -61,10 +61,12 @@
     return it != open.end() && it->alone;
 }
 
-void known_searcher::refill_cold_allowance(double per_second, time_point now) {
-    if (cold_allowance_at != time_point{}) {
-        const auto passed = std::chrono::duration<double>(now - cold_allowance_at).count();
+void known_searcher::refill_cold_allowance(double per_second, double first_fill, time_point now) {
+    if (cold_allowance_at) {
+        const auto passed = std::chrono::duration<double>(now - *cold_allowance_at).count();
         cold_allowance = std::min(1.0, cold_allowance + passed * per_second);
+    } else {
+        cold_allowance = first_fill;
     }
     cold_allowance_at = now;
 }
--- a/src/skylarkseam/gateway/known_searcher.hpp
+++ b/src/skylarkseam/gateway/known_searcher.hpp
@@ -96,9 +96,10 @@
     searcher_fault fault = searcher_fault::none;
     /// Number of requests that this host may send to the searcher now, while it is cold.
     double cold_allowance = 0.0;
-    time_point cold_allowance_at{}; ///< Time of the last update of `cold_allowance`.
-    time_point probe_at{};          ///< Time from which a faulty searcher may get one request as a probe.
-    duration probe_interval{};      ///< Probe interval of a faulty searcher; doubles with each failed probe.
+    /// Time of the last update of `cold_allowance`; empty until the first one after the searcher became cold.
+    std::optional<time_point> cold_allowance_at{};
+    time_point probe_at{};     ///< Time from which a faulty searcher may get one request as a probe.
+    duration probe_interval{}; ///< Probe interval of a faulty searcher; doubles with each failed probe.
 
     void on_sent(attempt_id id, time_point now, duration typical_latency, bool suspected = false);
     [[nodiscard]] bool has_suspected_request() const {
@@ -124,7 +125,9 @@
 
     /// Refills the allowance of a cold searcher. The allowance never exceeds one request, so that the
     /// requests of several hosts do not add up to a burst.
-    void refill_cold_allowance(double per_second, time_point now);
+    /// \param first_fill  allowance when the searcher has just become cold, from 0 to 1. Hosts choose it at
+    /// random, so that they do not send their first requests together.
+    void refill_cold_allowance(double per_second, double first_fill, time_point now);
 
     [[nodiscard]] bool backing_off(time_point now) const { return now < back_off_until; }
 
--- a/src/skylarkseam/gateway/placement.cpp
+++ b/src/skylarkseam/gateway/placement.cpp
@@ -24,6 +24,7 @@
 /// Jitter keeps the hosts from all preferring the same searcher.
 constexpr std::uint32_t jitter_steps = 32;
 constexpr double jitter_share = 0.1;
+constexpr std::uint32_t fill_steps = 64;
 
 bool in_regions(std::span<const std::string> regions, const std::string& region) {
     return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
@@ -41,7 +42,7 @@
 
 /// True if the rate limit of a cold searcher allows another request. The limit applies to all hosts together
 /// and is divided among the hosts in the searcher's zone.
-bool cold_rate_allows(known_searcher& it, bool cold, const placement_request& request) {
+bool cold_rate_allows(known_searcher& it, bool cold, const placement_request& request, pcg32& random) {
     if (!cold || request.service->cold_rate <= 0.0) {
         return true;
     }
@@ -49,7 +50,7 @@
         return false;
     }
     it.refill_cold_allowance(usable_cold_rate_share * request.service->cold_rate / request.hosts.in_own_zone,
-                             request.now);
+                             static_cast<double>(random(fill_steps)) / fill_steps, request.now);
     return it.cold_allowance >= 1.0;
 }
 
@@ -106,7 +107,7 @@
             continue;
         }
         const bool cold = searchers_.may_be_cold(*it, request.service->warm_up, request.now);
-        if (!cold_rate_allows(*it, cold, request)) {
+        if (!cold_rate_allows(*it, cold, request, random_)) {
             const bool no_other =
                 best.outcome == placement_outcome::none || best.outcome == placement_outcome::backing_off;
             best.outcome = no_other ? placement_outcome::full : best.outcome;
--- a/tests/gateway/cold_searchers_test.cpp
+++ b/tests/gateway/cold_searchers_test.cpp
@@ -96,4 +96,15 @@
     BOOST_TEST(it.returning.arrivals > before + 100U);
 }
 
+// Guards against the first requests of many hosts, which together are more than a cold searcher bears.
+BOOST_AUTO_TEST_CASE(gets_what_a_cold_one_bears_on_each_of_several_returns) {
+    two_zones it(std::vector<std::string>(15, "a"));
+    for (int n = 0; n < 3; ++n) {
+        it.evacuate_for(seconds(5));
+        it.world.run_for(seconds(3));
+        BOOST_TEST(it.most_in_a_second(seconds(3)) <= cold_bound);
+        it.world.run_for(seconds(2));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
