Refuse requests that come late in a planned stop

Cause: after 2.6 s new connections were refused, but requests on open connections were taken until 0.4 s before the kill. Clients use connections that were idle for seconds, so the process hardly ever had a moment without an open request, and cut off at the end what it had just taken.

At the end, requests of which nothing was sent are answered 503 and their attempts cancelled.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,12 +9,15 @@
 
 class Checks:
     BUDGET_RATIO, BUDGET_WINDOW = 0.2, 10.0
+    EVACUATED_S, IN_TOUCH_S = 5.0, 6.0
+    LATE_IN_STOP_S = 3.0
     LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK, LIMIT_ADAPT_S, LIMIT_TOLD_S = 4.0, 1.5, 5, 5.0, 0.5
 
     def __init__(self, world):
         self.world = world
         self.broken = []
         self.asked = {}  # request id -> (method, target, body, route)
+        self.sent_to = {}  # request id -> its gateway and when it was sent
         self.deadly_asked = {}  # the same of requests that crash searchers
         self.runs = defaultdict(int)
         self.refused = set()  # ids that were said not to have run
@@ -26,8 +29,9 @@
     def fail(self, rule, text):
         self.broken.append(f"{rule}: {text}")
 
-    def asks(self, request_id, method, target, body, route, client):
+    def asks(self, request_id, method, target, body, route, client, gateway):
         self.asked[request_id] = (method, target, body, route)
+        self.sent_to[request_id] = (gateway, time.monotonic())
         self.latest[client] = request_id
         for service in route["FanoutServices"] or [route["Service"]]:
             self.requests[service].append(time.monotonic())
@@ -49,6 +53,13 @@
         if since and calm and time.monotonic() - since > self.world.drain_s:
             self.fail("drain", f"{request_id} reached {searcher.name} {time.monotonic() - since:.1f} s after")
 
+        gateway = self.sent_to.get(request_id, (None, 0.0))[0]
+        evacuated_since = self.world.evacuated_since.get(searcher.zone)
+        if gateway and evacuated_since and time.monotonic() - evacuated_since > self.EVACUATED_S:
+            if gateway.in_touch(self.IN_TOUCH_S) and time.monotonic() - self.world.store.troubled > self.IN_TOUCH_S:
+                self.fail("evacuation", f"{request_id} reached {searcher.name} in zone {searcher.zone} from gateway-"
+                          f"{gateway.n} {time.monotonic() - evacuated_since:.1f} s after")
+
     def arrived_despite(self, searcher, request_id, writer):
         """On a connection whose gateway was told that the searcher leaves, or wants nothing for a time."""
         now = time.monotonic()
@@ -86,6 +97,11 @@
     def answered(self, request_id, status, headers, body):
         self.answers[status] += 1
         route = self.asked[request_id][3]
+        gateway, sent = self.sent_to[request_id]
+        if status in (502, 504) and b"draining" in body and time.monotonic() - gateway.hurt >= 8.0:
+            late = sent - gateway.ending_since > self.LATE_IN_STOP_S
+            if late and any(self.arrivals.get((it, request_id)) for it in route["FanoutServices"] or [route["Service"]]):
+                self.fail("lost", f"{request_id} came late in the stop of gateway-{gateway.n}, ran and was cut off")
         if status in (429, 503) and route["Kind"] == "unsafe":
             self.refused.add(request_id)
             if self.runs[route["Service"], request_id]:
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -20,6 +20,7 @@
         self.store_link = None
         self.troubled = -1e9
         self.hurt = -1e9  # when it was last killed, stopped or paused
+        self.ending_since = 1e9  # when it was asked to end
 
     async def start(self):
         if self.store_link is None:
@@ -38,6 +39,7 @@
   extra_slack: {self.world.budget_slack}, stop_grace_ms: 6000, least_hosts: {len(self.world.gateways)}}}
 """)
         log = open(path + ".log", "ab")
+        self.ending_since = 1e9
         self.process = subprocess.Popen([self.world.binary, "gateway", "--settings", path + ".yaml"],
                                         stdout=log, stderr=log)
 
@@ -47,11 +49,18 @@
 
     def signal(self, number):
         self.troubled = time.monotonic()
-        if number != signal.SIGTERM:
+        if number == signal.SIGTERM:
+            self.ending_since = self.troubled
+        else:
             self.hurt = self.troubled
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def in_touch(self, least_s):
+        """Whether it ran and reached the store for so long."""
+        cut = self.store_link.silent or self.store_link.one_way
+        return not cut and self.process.poll() is None and time.monotonic() - self.troubled > least_s
+
     async def end(self, number):
         self.signal(number)
         while self.process.poll() is None:
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -137,6 +137,10 @@
 
 void gateway::on_request_arrived(const gateway_request& request, time_point now, output& out) {
     ++counters_.requests;
+    if (refuses_new_) {
+        refuse(request, refusal_reason::draining, out);
+        return;
+    }
     if (!is_ready()) {
         if (startup_queue_.size() >= max_startup_requests) {
             refuse(request, refusal_reason::not_ready, out);
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -75,6 +75,11 @@
 
     void handle(gateway_input event, time_point now, output& out);
 
+    /// Refuses every request that arrives from now on, because the process ends soon.
+    void refuse_new_requests() { refuses_new_ = true; }
+    /// Ends all open requests at once: those of which nothing was sent are refused as not run.
+    void end_open_requests(time_point now, output& out);
+
     /// Sets the other gateways that take requests while this host reaches no searcher.
     void set_peers(const std::vector<relay_peer>& peers);
     /// Whether this host takes a request of another one that knows `config_version`.
@@ -269,6 +274,7 @@
     std::shared_ptr<const routing_table> table_ = std::make_shared<routing_table>();
     host_counts hosts_;
     bool listing_complete_ = false;
+    bool refuses_new_ = false;
     struct startup_request {
         gateway_request request;
         time_point arrived{};
--- a/src/skylarkseam/gateway/gateway_answers.cpp
+++ b/src/skylarkseam/gateway/gateway_answers.cpp
@@ -4,6 +4,7 @@
 #include <skylarkseam/gateway/record_merge.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkseam {
 namespace {
@@ -113,7 +114,7 @@
         return gateway_answer::forwarded{first.response};
     }
     if (run.may_have_run()) {
-        const bool timed_out = reason == refusal_reason::deadline;
+        const bool timed_out = reason == refusal_reason::deadline || reason == refusal_reason::draining;
         return gateway_answer::refused{reason, timed_out ? status_timeout : status_bad_gateway,
                                        duration::zero()};
     }
@@ -143,6 +144,23 @@
     end_attempts_of_run(*run, !promised_not_run, now, out);
 }
 
+void gateway::end_open_requests(time_point now, output& out) {
+    for (const auto& it : std::exchange(startup_queue_, {})) {
+        refuse(it.request, refusal_reason::draining, out);
+    }
+    while (!relays_.empty()) {
+        const auto token = relays_.begin()->first;
+        out.emplace_back(gateway_action::cancel_relay{token});
+        ++relays_.begin()->second.lost; // The other host may run it.
+        refuse_relay(token, now, out);
+    }
+    wait_lists_.clear(); // No waiting request takes the slot of one that ends.
+    while (!runs_.empty()) {
+        const auto run = runs_.begin()->second;
+        finish(run, failure_of(*run, refusal_reason::draining), now, out);
+    }
+}
+
 void gateway::end_attempts_of_run(request_run& run, bool keep_as_probes, time_point now, output& out) {
     for (auto& part : run.parts) {
         const bool had_open = !part.open.empty();
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -256,16 +256,14 @@
 }
 
 void gateway_front::refuse_open() {
-    for (auto& [token, it] : open_) {
-        outgoing_response response;
-        response.status = 504;
-        response.body = R"({"error":"draining"})";
-        response.close = true;
+    for (const auto& [token, it] : open_) {
         log_event(log_level::warning, "answer_cut_by_stop",
-                  {{"request", it.request.header(binding_.dialect.request_id)}});
-        it.answer(std::move(response));
+                  {{"request", it.request.header(binding_.dialect.request_id)},
+                   {"open_ms", static_cast<std::uint64_t>(to_ms(loop_.now() - it.arrived))}});
     }
-    open_.clear();
+    std::vector<gateway_output> actions;
+    gateway_.end_open_requests(loop_.now(), actions);
+    perform(std::move(actions));
 }
 
 bool gateway_front::set_table(std::shared_ptr<const routing_table> table) {
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -36,8 +36,12 @@
 
     /// From now on every answer ends its connection.
     void drain() { draining_ = true; }
-    void stop_listening() { server_.stop_listening(); }
-    /// Answers what is still open, since the process ends now.
+    /// Refuses new connections, and new requests on those that are open.
+    void refuse_new() {
+        gateway_.refuse_new_requests();
+        server_.stop_listening();
+    }
+    /// Answers what is still open, since the process ends now: as not run where that is known.
     void refuse_open();
 
     /// False where the table is not newer than the one in force.
--- a/src/skylarkseam/shell/gateway_node.cpp
+++ b/src/skylarkseam/shell/gateway_node.cpp
@@ -250,10 +250,10 @@
         case stop_step::serve:
             break;
         case stop_step::refuse_new:
-            stop_listening();
+            refuse_new();
             break;
         case stop_step::end:
-            stop_listening();
+            refuse_new();
             loop_.stop();
             return;
         case stop_step::cut:
@@ -264,11 +264,11 @@
         loop_.run_after(drain_check_interval, [this] { check_drained(); });
     }
 
-    void stop_listening() {
-        if (listening_) {
-            listening_ = false;
-            front_.stop_listening();
-            log_event(log_level::info, "not_listening", {{"open_requests", front_.open_requests()}});
+    void refuse_new() {
+        if (taking_new_) {
+            taking_new_ = false;
+            front_.refuse_new();
+            log_event(log_level::info, "refusing_new", {{"open_requests", front_.open_requests()}});
         }
     }
 
@@ -285,7 +285,7 @@
     relay_runner relay_;
     bool complete_ = false; ///< every searcher's registration is known
     bool draining_ = false;
-    bool listening_ = true; ///< for clients
+    bool taking_new_ = true; ///< for clients
     time_point drain_began_{};
     int exit_code_ = 0;
 };
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -152,6 +152,12 @@
     handle(host, gateway_event::client_disconnected{token});
 }
 
+void gateway_world::end_open_requests(std::uint32_t host) {
+    std::vector<gateway_output> out;
+    hosts[host]->end_open_requests(now, out);
+    perform(host, out);
+}
+
 void gateway_world::load(const std::string& path, double per_second, duration time) {
     std::vector<std::uint32_t> host_indices(hosts.size());
     std::iota(host_indices.begin(), host_indices.end(), 0U);
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -114,6 +114,8 @@
     request_token send_request(const std::string& path, std::uint32_t host = 0,
                                std::optional<duration> patience = std::nullopt);
     void disconnect(request_token token, std::uint32_t host = 0);
+    /// Ends the open requests of a host, whose process ends.
+    void end_open_requests(std::uint32_t host = 0);
     /// Ends a searcher's process: its connections are reset and new ones are refused. Its entry lapses, and
     /// after `down_time` another process starts at the address.
     void crash(model_searcher& it);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -198,4 +198,12 @@
     BOOST_TEST((next_stop_step(milliseconds(5600), grace, 1) == stop_step::cut));
 }
 
+BOOST_AUTO_TEST_CASE(leaves_half_of_a_short_grace_period_for_open_requests) {
+    constexpr duration grace = seconds(2);
+    BOOST_TEST((next_stop_step(milliseconds(790), grace, 1) == stop_step::serve));
+    BOOST_TEST((next_stop_step(milliseconds(800), grace, 1) == stop_step::refuse_new));
+    BOOST_TEST((next_stop_step(milliseconds(1590), grace, 1) == stop_step::refuse_new));
+    BOOST_TEST((next_stop_step(milliseconds(1600), grace, 1) == stop_step::cut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/shell/gateway_front_test.cpp
+++ b/tests/shell/gateway_front_test.cpp
@@ -83,9 +83,25 @@
     BOOST_REQUIRE(run_until([&] { return front.open_requests() == 1; }));
     // Whenever nothing is open any more, the answer is on its way: the process may end.
     BOOST_REQUIRE(run_until([&] { return front.open_requests() == 0; }));
-    front.stop_listening();
+    front.refuse_new();
     BOOST_TEST(front.decisions().open_requests() == 0U);
     BOOST_TEST(run_until([&] { return answered; }));
 }
 
+// Guards against requests that are taken late in a planned stop and cut off at its end.
+BOOST_AUTO_TEST_CASE(refuses_requests_on_open_connections_once_the_process_is_about_to_end) {
+    http_response before;
+    http_response after;
+    client.send(request(), [&](const http_response& it) { before = it; });
+    BOOST_REQUIRE(run_until([&] { return before.status != 0; }));
+    front.drain();
+    front.refuse_new();
+    client.send(request(), [&](const http_response& it) { after = it; });
+    BOOST_REQUIRE(run_until([&] { return after.status != 0; }));
+    BOOST_TEST(after.status == 503);
+    BOOST_TEST(after.header("connection") == "close");
+    BOOST_TEST(!after.header("retry-after").empty());
+    BOOST_TEST(searcher.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
