Read a page of the store so that an entry that is no JSON costs that entry only

Cause: platform::read_answer parsed a whole page as one text. The parser refuses it as a whole, the call counted as failed and was made again.

Deep nesting and ports out of range were skipped before as well; they are in the test.

--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -100,6 +100,40 @@
     }
 }
 
+// Guards against one entry of another writer that makes the whole page unreadable.
+BOOST_AUTO_TEST_CASE(that_are_no_text_or_no_json_do_not_affect_others) {
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {R"("Version":"v1")", R"("Version":"\ud83d")"},
+             {R"("Version":"v1")", "\"Version\":\"\xff\xfe\""},
+             {R"("Sequence":3)", R"("Sequence":1e999)"},
+             {R"("Sequence":3)", R"("Sequence":99999999999999999999999)"},
+             {R"("Sequence":3)", R"("Sequence":tru)"},
+             {R"("Slots":4)", R"("Slots":18446744073709551615)"},
+             {R"("Slots":4)", R"("Slots":)" + deep},
+             {R"("10.0.0.1:80")", R"("10.0.0.1:65536")"},
+             {R"("10.0.0.1:80")", R"("10.0.0.1:99999999999999999999")"},
+             {R"("10.0.0.1:80")", R"("10.0.0.1:-1")"},
+         }) {
+        const auto other = replaced(replaced(entry, "i-1", "i-2"), from, to);
+        const auto watch_of = [](const std::string& object) {
+            return R"({"Deleted":false,"Object":)" + object + "}";
+        };
+        store_call watch = listing(store_kind::searchers);
+        watch.watch = true;
+        for (const auto& answer :
+             {read(listing(store_kind::searchers), page_of(other + "," + entry)),
+              read(watch, R"({"events":[)" + watch_of(other) + "," + watch_of(entry) + R"(],"AsOf":530})")}) {
+            BOOST_TEST_REQUIRE((answer.status == store_status::ok), to.substr(0, 40));
+            BOOST_TEST(answer.page.revision == 530U);
+            BOOST_TEST_REQUIRE(answer.page.entries.size() == 2U);
+            BOOST_TEST(answer.page.entries[0].name == "i-2");
+            BOOST_TEST(std::holds_alternative<unreadable_entry>(answer.page.entries[0].value));
+            BOOST_TEST(std::holds_alternative<searcher_record>(answer.page.entries[1].value));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(report_deletion) {
     store_call call = listing(store_kind::searchers);
     call.watch = true;
--- a/tests/platform/suspect_codec_test.cpp
+++ b/tests/platform/suspect_codec_test.cpp
@@ -57,6 +57,18 @@
     BOOST_TEST((list({}, 0).status == suspect_store_status::unavailable));
 }
 
+// Guards against one entry of another writer that makes the whole page unreadable.
+BOOST_AUTO_TEST_CASE(are_read_beside_one_that_is_no_json) {
+    for (const auto* const odd : {R"("\ud83d")", "1e999", "\"\xff\"", "tru"}) {
+        const auto answer = list(
+            R"({"items":[{"meta":{"Name":"0e","Revision":11},"spec":{"Searchers":[)" + std::string(odd) +
+            R"(]}},{"meta":{"Name":"0f","Revision":12},"spec":{"Searchers":["i-1"]}}],"HasMore":false})");
+        BOOST_TEST((answer.status == suspect_store_status::done), odd);
+        BOOST_TEST_REQUIRE(answer.entries.size() == 1U, odd);
+        BOOST_TEST(answer.entries[0].fingerprint == "0f");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(may_have_been_written_by_another_host) {
     BOOST_TEST((write_status(kind::create, 201) == suspect_store_status::done));
     BOOST_TEST((write_status(kind::create, 409) == suspect_store_status::exists));
