Act on what searchers state in their answers to liveness requests

Cause: the result of a check said whether an answer came, and had no place for what the searcher states in it; only answers to requests were read.

Change: the result carries the answer, and record_announcements takes it as that of a request: Retry-After, a shutdown, a rate limit. The request names the searcher that it is meant for, so that another one at the same address answers 421, which states nothing of the first.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -185,6 +185,8 @@
 struct searcher_checked {
     attempt_id id = 0;
     check_result result = check_result::no_answer;
+    std::optional<attempt_result>
+        answer{}; ///< Answer to the liveness request, for what the searcher states in it.
 };
 /// The other host has accepted a request that was passed on to it.
 struct relay_accepted {
@@ -226,7 +228,8 @@
 struct check_searcher {
     attempt_id id = 0;
     std::string address;
-    duration timeout{};          ///< Timeout for opening the connection.
+    std::string searcher; ///< ID of the searcher; another one at the address answers that it is not meant.
+    duration timeout{};   ///< Timeout for opening the connection.
     std::string liveness_path{}; ///< Path of the liveness request; empty if none is sent.
     duration answer_timeout{};   ///< Timeout of its answer.
 };
--- a/src/skylarkseam/gateway/gateway.cpp
+++ b/src/skylarkseam/gateway/gateway.cpp
@@ -84,9 +84,7 @@
         void operator()(gateway_event::attempt_ended& it) const {
             self.on_attempt_ended(it.id, std::move(it.result), now, out);
         }
-        void operator()(gateway_event::searcher_checked& it) const {
-            self.on_searcher_checked(it.id, it.result, now, out);
-        }
+        void operator()(gateway_event::searcher_checked& it) const { self.on_searcher_checked(it, now, out); }
         void operator()(gateway_event::relay_accepted& it) const { self.on_relay_accepted(it.token, now); }
         void operator()(gateway_event::relay_ended& it) const {
             self.on_relay_ended(it.token, std::move(it.result), now, out);
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -16,7 +16,6 @@
 #include <skylarkseam/gateway/wait_list.hpp>
 
 #include <unordered_map>
-#include <unordered_set>
 
 namespace skylarkseam {
 
@@ -204,7 +203,7 @@
     [[nodiscard]] std::size_t next_deferred_part(const request_run& run, time_point now);
     /// Records that an attempt lost its connection, and finds out whether the searcher ended.
     void record_loss(const attempt& ended, bool accountable, time_point now, output& out);
-    void on_searcher_checked(attempt_id id, check_result result, time_point now, output& out);
+    void on_searcher_checked(const gateway_event::searcher_checked& event, time_point now, output& out);
     /// Holds the end of a searcher against the requests that were open there.
     void on_searcher_ended(const known_searcher& it, time_point now, output& out);
     void report_suspects(const std::vector<std::string>& fingerprints, const std::string& searcher,
@@ -225,7 +224,7 @@
     /// Whether a liveness request breaks no limit of the searcher.
     [[nodiscard]] bool takes_liveness_requests(const known_searcher& it, time_point now) const;
     [[nodiscard]] duration shortest_objective() const;
-    void take_reach_check(attempt_id id, check_result result, time_point now, output& out);
+    void take_reach_check(const gateway_event::searcher_checked& event, time_point now, output& out);
     /// Asks other hosts whether they take requests, while this one reaches no searcher.
     void ask_peers(time_point now, output& out);
     void on_peer_asked(const gateway_event::peer_asked& it, time_point now);
@@ -285,8 +284,9 @@
     crash_suspects suspects_;
     std::unordered_map<attempt_id, known_searcher_ptr> checks_; ///< Searchers that are being checked.
     upstream_reach reach_;
-    std::unordered_set<attempt_id> reach_checks_; ///< Checks of `reach_`.
-    pcg32 reach_random_;                          ///< Chooses the searchers of these checks.
+    std::unordered_map<attempt_id, known_searcher_ptr>
+        reach_checks_;   ///< Searchers of the checks of `reach_`.
+    pcg32 reach_random_; ///< Chooses the searchers of these checks.
     relay_peers peers_;
     std::unordered_map<request_token, relayed_request> relays_;
     attempt_id last_attempt_id_ = 0;
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -60,13 +60,13 @@
     reach_.begin_round(chosen.size(), now);
     for (const auto& it : chosen) {
         const auto id = ++last_attempt_id_;
-        reach_checks_.insert(id);
+        reach_checks_[id] = it;
         ++counters_.searcher_checks;
         const auto service = table_->services.find(it->record.service);
         const bool asked = takes_liveness_requests(*it, now) && service != table_->services.end();
         const auto round_trip = round_trips_.to(*it);
         out.emplace_back(gateway_action::check_searcher{
-            id, it->record.address, std::max(check_timeout, round_trip * 4),
+            id, it->record.address, it->record.id, std::max(check_timeout, round_trip * 4),
             asked ? service->second.liveness_path : std::string(), round_trip + answer_time});
     }
 }
@@ -110,11 +110,16 @@
     return shortest;
 }
 
-void gateway::take_reach_check(attempt_id id, check_result result, time_point now, output& out) {
-    if (reach_checks_.erase(id) == 0) {
+void gateway::take_reach_check(const gateway_event::searcher_checked& event, time_point now, output& out) {
+    const auto found = reach_checks_.find(event.id);
+    if (found == reach_checks_.end()) {
         return;
     }
-    if (!reach_.take_check(result, now)) {
+    if (event.answer) {
+        record_announcements(*found->second, *event.answer, now);
+    }
+    reach_checks_.erase(found);
+    if (!reach_.take_check(event.result, now)) {
         check_reach(now, out);
         return;
     }
--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -123,16 +123,18 @@
     const auto id = ++last_attempt_id_;
     checks_[id] = ended.target;
     ++counters_.searcher_checks;
-    out.emplace_back(gateway_action::check_searcher{
-        id, it.record.address, std::max(min_check_timeout, round_trips_.to(it) * check_round_trips)});
+    out.emplace_back(
+        gateway_action::check_searcher{id, it.record.address, it.record.id,
+                                       std::max(min_check_timeout, round_trips_.to(it) * check_round_trips)});
 }
 
-void gateway::on_searcher_checked(attempt_id id, check_result result, time_point now, output& out) {
-    const auto found = checks_.find(id);
+void gateway::on_searcher_checked(const gateway_event::searcher_checked& event, time_point now, output& out) {
+    const auto found = checks_.find(event.id);
     if (found == checks_.end()) {
-        take_reach_check(id, result, now, out);
+        take_reach_check(event, now, out);
         return;
     }
+    const auto result = event.result;
     const auto target = found->second;
     checks_.erase(found);
     target->check_open = false;
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -31,9 +31,16 @@
               [this](std::uint64_t id, check_result result) {
                   deliver(gateway_event::searcher_checked{id, result});
               })
-    , liveness_(loop,
-                [this](std::uint64_t id, check_result result) {
-                    deliver(gateway_event::searcher_checked{id, result});
+    , liveness_(loop, binding.dialect.expected_id,
+                [this](std::uint64_t id, check_result result, std::optional<upstream_response> answer) {
+                    gateway_event::searcher_checked event{id, result};
+                    if (answer) {
+                        upstream_result received;
+                        received.sent = true;
+                        received.response = std::move(answer);
+                        event.answer = to_attempt_result(std::move(received), binding_.dialect);
+                    }
+                    deliver(std::move(event));
                 })
     , server_(
           loop, limits,
--- a/src/skylarkseam/shell/liveness_checks.cpp
+++ b/src/skylarkseam/shell/liveness_checks.cpp
@@ -5,9 +5,11 @@
 
 constexpr std::size_t answer_limit = 64U << 10U;
 
-upstream_request liveness_request(const std::string& path, const std::string& address) {
+upstream_request liveness_request(const gateway_action::check_searcher& action,
+                                  const std::string& id_header) {
     upstream_request out;
-    out.bytes = "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n";
+    out.bytes = "GET " + action.liveness_path + " HTTP/1.1\r\nHost: " + action.address + "\r\n" + id_header +
+                ": " + action.searcher + "\r\nConnection: close\r\n\r\n";
     return out;
 }
 
@@ -23,8 +25,9 @@
 
 } // namespace
 
-liveness_checks::liveness_checks(event_loop& loop, handler on_result)
+liveness_checks::liveness_checks(event_loop& loop, std::string id_header, handler on_result)
     : loop_(loop)
+    , id_header_(std::move(id_header))
     , on_result_(std::move(on_result)) {}
 
 liveness_checks::~liveness_checks() {
@@ -40,12 +43,12 @@
     callbacks.on_sending = [this, id, timeout = action.answer_timeout] {
         set_timer(id, timeout, check_result::silent);
     };
-    callbacks.on_result = [this, id](const upstream_result& result) { finish_soon(id, result_of(result)); };
+    callbacks.on_result = [this, id](const upstream_result& result) { finish_soon(id, result); };
     callbacks.on_closed = [] {};
     it.connection =
         std::make_unique<upstream_connection>(loop_, action.address, answer_limit, std::move(callbacks));
     set_timer(id, action.timeout, check_result::no_answer);
-    it.connection->send(liveness_request(action.liveness_path, action.address));
+    it.connection->send(liveness_request(action, id_header_));
 }
 
 void liveness_checks::set_timer(std::uint64_t id, duration timeout, check_result result) {
@@ -54,18 +57,18 @@
         return;
     }
     loop_.cancel(found->second.timer);
-    found->second.timer = loop_.run_after(timeout, [this, id, result] { finish(id, result); });
+    found->second.timer = loop_.run_after(timeout, [this, id, result] { finish(id, result, std::nullopt); });
 }
 
-void liveness_checks::finish_soon(std::uint64_t id, check_result result) {
+void liveness_checks::finish_soon(std::uint64_t id, const upstream_result& result) {
     loop_.post([this, id, result, alive = std::weak_ptr<bool>(alive_)] {
         if (alive.lock()) {
-            finish(id, result);
+            finish(id, result_of(result), result.response);
         }
     });
 }
 
-void liveness_checks::finish(std::uint64_t id, check_result result) {
+void liveness_checks::finish(std::uint64_t id, check_result result, std::optional<upstream_response> answer) {
     const auto found = open_.find(id);
     if (found == open_.end()) {
         return;
@@ -74,7 +77,7 @@
     open_.erase(found);
     loop_.cancel(it.timer);
     it.connection->close();
-    on_result_(id, result);
+    on_result_(id, result, std::move(answer));
 }
 
 } // namespace skylarkseam
--- a/src/skylarkseam/shell/liveness_checks.hpp
+++ b/src/skylarkseam/shell/liveness_checks.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -14,9 +15,12 @@
 class liveness_checks {
 public:
     /// Called once for each check, not from within start().
-    using handler = std::function<void(std::uint64_t id, check_result result)>;
+    /// \param answer  the searcher's answer, if there is one
+    using handler =
+        std::function<void(std::uint64_t id, check_result result, std::optional<upstream_response> answer)>;
 
-    liveness_checks(event_loop& loop, handler on_result);
+    /// \param id_header  header that names the searcher that a request is meant for
+    liveness_checks(event_loop& loop, std::string id_header, handler on_result);
     ~liveness_checks();
     liveness_checks(const liveness_checks&) = delete;
     liveness_checks& operator=(const liveness_checks&) = delete;
@@ -31,11 +35,12 @@
     };
 
     /// Ends the check from the event loop, since the connection may be the caller.
-    void finish_soon(std::uint64_t id, check_result result);
-    void finish(std::uint64_t id, check_result result);
+    void finish_soon(std::uint64_t id, const upstream_result& result);
+    void finish(std::uint64_t id, check_result result, std::optional<upstream_response> answer);
     void set_timer(std::uint64_t id, duration timeout, check_result result);
 
     event_loop& loop_;
+    std::string id_header_;
     handler on_result_;
     std::unordered_map<std::uint64_t, check> open_; ///< by id
     /// Expires with this object; what is posted to the loop may run later.
--- a/tests/gateway/announcements_test.cpp
+++ b/tests/gateway/announcements_test.cpp
@@ -99,6 +99,42 @@
     BOOST_TEST(!world.hosts[0]->searchers().all().at(it.record.id)->leaving.has_value());
 }
 
+// Guards against requests to searchers that have refused a liveness request and named a time.
+BOOST_AUTO_TEST_CASE(may_say_so_in_its_answer_to_a_liveness_request) {
+    gateway_world world;
+    world.add_service("desk", 4, {"a", "b", "c"});
+    world.add_route(single_route("desk", repeatability::at_most_once));
+    world.publish();
+    const auto for_each_searcher = [&](const std::function<void(model_searcher&)>& action) {
+        for (const auto& it : world.searchers.at("desk")) {
+            action(*it);
+        }
+    };
+    for_each_searcher([](auto& it) { it.behaviour.lost_share = 1.0; });
+    for (int n = 0; n < 3; ++n) {
+        world.send_request("/audit/lost/" + std::to_string(n));
+    }
+    world.run_for(milliseconds(25)); // The requests run, and their answers will be lost.
+    for_each_searcher([](auto& it) { it.behaviour.back_off = seconds(4); });
+    world.run_for(milliseconds(600));
+    BOOST_TEST(world.hosts[0]->counters().back_offs == 3U);
+    for_each_searcher([](auto& it) {
+        it.behaviour.lost_share = 0.0;
+        it.behaviour.back_off.reset();
+    });
+    const auto told = world.now;
+    for (int n = 0; n < 50; ++n) {
+        world.send_request("/audit/later/" + std::to_string(n));
+        world.run_for(milliseconds(50));
+    }
+    for_each_searcher(
+        [&](const auto& it) { BOOST_TEST(arrivals_between(it, 0, told, world.now) == 0U, it.record.id); });
+    world.run_for(seconds(2));
+    BOOST_TEST(world.send_request("/audit/after") > 0U);
+    world.run_for(seconds(1));
+    BOOST_TEST(world.results.back().status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_searcher_that_asks_for_no_requests)
--- a/tests/gateway/searcher_crashes.cpp
+++ b/tests/gateway/searcher_crashes.cpp
@@ -45,8 +45,16 @@
 void gateway_world::check(std::uint32_t host, const gateway_action::check_searcher& action) {
     const auto& target = *by_address_.at(action.address);
     const auto way = link(host, target);
-    const auto finish = [this, host, id = action.id](duration delay, check_result result) {
-        after(delay, [this, host, id, result] { handle(host, gateway_event::searcher_checked{id, result}); });
+    const auto finish = [this, host, &target, id = action.id](duration delay, check_result result) {
+        gateway_event::searcher_checked checked{id, result};
+        if (result == check_result::answered) {
+            checked.answer = attempt_result{};
+            checked.answer->outcome =
+                target.behaviour.back_off ? attempt_outcome::refused : attempt_outcome::answered;
+            checked.answer->back_off = target.behaviour.back_off;
+            checked.answer->searcher_leaving = target.behaviour.leaving;
+        }
+        after(delay, [this, host, checked] { handle(host, checked); });
     };
     const bool muted = links[host] == upstream_links::mute || links[host] == upstream_links::resetting;
     if (muted) {
--- a/tests/shell/liveness_checks_test.cpp
+++ b/tests/shell/liveness_checks_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 #include <tests/shell/loop_fixture.hpp>
 
 using namespace skylarkseam;
@@ -14,10 +15,14 @@
 
 struct liveness_fixture : loop_fixture {
     std::map<std::uint64_t, check_result> results;
-    liveness_checks checks{loop, [this](std::uint64_t id, check_result result) { results[id] = result; }};
+    std::optional<upstream_response> last_answer;
+    liveness_checks checks{loop, "x-for", [this](std::uint64_t id, check_result result, auto answer) {
+                               results[id] = result;
+                               last_answer = std::move(answer);
+                           }};
 
     void start(std::uint64_t id, const std::string& address) {
-        checks.start({id, address, seconds(5), "/alive", seconds(5)});
+        checks.start({id, address, "i-1", seconds(5), "/alive", seconds(5)});
         BOOST_TEST(results.count(id) == 0U);
     }
 
@@ -40,6 +45,17 @@
     BOOST_TEST_REQUIRE(searcher.requests.size() == 1U);
     BOOST_TEST(searcher.requests[0].starts_with("GET /alive HTTP/1.1\r\n"));
     BOOST_TEST(searcher.requests[0].find("Host: " + searcher.address) != std::string::npos);
+    BOOST_TEST(searcher.requests[0].find("x-for: i-1\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(hands_on_what_the_answer_states) {
+    scripted_server searcher(loop, [](const std::string&) {
+        return scripted_server::reply{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nRetry-After: 4\r\n\r\n"};
+    });
+    check(searcher.address);
+    BOOST_TEST_REQUIRE(last_answer.has_value());
+    BOOST_TEST(last_answer->status == 503);
+    BOOST_TEST(*last_answer->header("Retry-After") == "4");
 }
 
 BOOST_AUTO_TEST_CASE(takes_no_connection_for_a_sign_of_life) {
@@ -73,8 +89,8 @@
     });
     int called = 0;
     {
-        liveness_checks others(loop, [&](std::uint64_t, check_result) { ++called; });
-        others.start({1, searcher.address, seconds(5), "/alive", seconds(5)});
+        liveness_checks others(loop, "x-for", [&](std::uint64_t, check_result, const auto&) { ++called; });
+        others.start({1, searcher.address, "i-1", seconds(5), "/alive", seconds(5)});
         run_turns(3);
     }
     run_turns(20);
