Test that an answer that stops in its head is none

Not found here: the answer of every form, stopped after every byte of its head, in one segment and in two, gives no response and counts as sent, so that it is neither whole nor "not run". The same holds for a body with a stated length or in chunks. An answer without a length ends with its connection, as the users' pages say. No change of the program.

--- a/tests/shell/split_messages_test.cpp
+++ b/tests/shell/split_messages_test.cpp
@@ -111,6 +111,34 @@
     check_every_cut(refusal);
 }
 
+// Guards against an answer whose head is cut off and that counts as whole, with an empty or a short body.
+BOOST_AUTO_TEST_CASE(is_none_where_it_stops_in_its_head) {
+    for (const auto& answer :
+         {with_length, chunked, without_body, empty_body, to_the_end, after_interim, to_head, refusal}) {
+        // The head of the last answer, behind interim ones.
+        const auto head = answer.bytes.find("\r\n\r\n", answer.bytes.rfind("HTTP/1.1")) + 4;
+        for (std::size_t end = 1; end < head; ++end) {
+            for (const auto segment : {std::size_t{0}, end / 2}) {
+                const auto& result =
+                    fetch({answer.bytes.substr(0, end), true, false, segment}, answer.is_head);
+                BOOST_TEST_CONTEXT("stopped after byte " << end << " of " << answer.bytes) {
+                    BOOST_TEST(!result.response.has_value());
+                    BOOST_TEST(result.sent);
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_none_where_it_stops_in_a_body_whose_end_it_states) {
+    for (const auto& answer : {with_length, chunked, refusal}) {
+        for (auto end = answer.bytes.find("\r\n\r\n") + 4; end < answer.bytes.size(); ++end) {
+            const auto& result = fetch({answer.bytes.substr(0, end), true});
+            BOOST_TEST(!result.response.has_value(), "stopped after byte " << end << " of " << answer.bytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_taken_once_where_a_second_answer_follows) {
     const auto both = with_length.bytes + chunked.bytes;
     for (std::size_t cut = 1; cut < both.size(); ++cut) {
