Count searchers that end together on several gateways once

Cause: a request is refused after three ends, each under an attempt sent after the end before. That was checked for a gateway's own attempts; ends that others reported were added without a comparison.

Change: a reported end counts if it lies 250 ms or more from the known ones, an own end if its attempt was sent after all of them. Ends of a request that the other gateway refuses are taken as they are. Messages are unchanged.

--- a/src/skylarkseam/gateway/crash_suspects.cpp
+++ b/src/skylarkseam/gateway/crash_suspects.cpp
@@ -64,7 +64,7 @@
     if (losses_.size() >= limits_.max_losses) {
         losses_.erase(losses_.begin());
     }
-    losses_.push_back({fingerprint, searcher, now});
+    losses_.push_back({fingerprint, searcher, sent, now});
     return true;
 }
 
@@ -91,7 +91,11 @@
         if (it.searcher.get() != &searcher) {
             return false;
         }
-        if (add_end(it.fingerprint, {searcher.record.id, it.when}, now)) {
+        // Meanwhile another host may have reported an end that came after this attempt was sent.
+        const auto found = suspects_.find(it.fingerprint);
+        const bool in_turn = found == suspects_.end() || found->second.ends.empty() ||
+                             it.sent > found->second.ends.back().when;
+        if (in_turn && add_end(it.fingerprint, {searcher.record.id, it.when}, now)) {
             changed.push_back(it.fingerprint);
         }
         return true;
@@ -153,6 +157,15 @@
     return true;
 }
 
+bool crash_suspects::has_end_beside(const std::string& fingerprint, const searcher_end& end) const {
+    const auto found = suspects_.find(fingerprint);
+    return found != suspects_.end() &&
+           std::any_of(found->second.ends.begin(), found->second.ends.end(), [&](const auto& it) {
+               const auto apart = it.when > end.when ? it.when - end.when : end.when - it.when;
+               return it.searcher != end.searcher && apart < limits_.same_moment;
+           });
+}
+
 void crash_suspects::make_room(time_point now) {
     expire(now);
     if (suspects_.size() < limits_.max_suspects) {
@@ -207,8 +220,12 @@
         if (is_new) {
             found->second.sequence = ++sequence_;
         }
-        for (const auto& end : report.ends) {
-            is_new = add_end(report.fingerprint, {end.searcher, now - end.age}, now) || is_new;
+        const bool refused = report.ends.size() >= limits_.ends_to_refuse;
+        for (const auto& reported : report.ends) {
+            searcher_end end{reported.searcher, now - reported.age};
+            if (refused || !has_end_beside(report.fingerprint, end)) {
+                is_new = add_end(report.fingerprint, std::move(end), now) || is_new;
+            }
         }
         if (is_new) {
             changed.push_back(report.fingerprint);
--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -26,6 +26,9 @@
     /// Time for which it is remembered that a searcher answered the request, so that older ends that other
     /// hosts report do not count.
     duration answer_memory = seconds(60);
+    /// Time between two ends on different hosts within which they may have the same cause: neither attempt
+    /// was sent after the other one's end was known.
+    duration same_moment = milliseconds(250);
     std::size_t max_suspects = 512;
     std::size_t max_losses = 256;
 };
@@ -87,7 +90,9 @@
     [[nodiscard]] std::uint64_t sequence() const { return sequence_; }
     /// What was learned after change number `after`; everything if it is 0.
     [[nodiscard]] std::vector<suspect_report> reports_since(std::uint64_t after, time_point now) const;
-    /// Takes over what another host reports. Returns the fingerprints of the requests of which more is known.
+    /// Takes over what another host reports. Its ends count if the request is refused there, or if they lie
+    /// apart from the ones that are known here. Returns the fingerprints of the requests of which more is
+    /// known.
     std::vector<std::string> merge(const std::vector<suspect_report>& reports, time_point now);
 
     void expire(time_point now);
@@ -109,6 +114,7 @@
     struct loss {
         std::string fingerprint;
         known_searcher_ptr searcher;
+        time_point sent{};
         time_point when{};
         bool being_checked = true;
     };
@@ -119,6 +125,8 @@
     [[nodiscard]] bool expired(const suspect& it, time_point now) const;
     /// Returns false if the end is known or does not count.
     bool add_end(const std::string& fingerprint, searcher_end end, time_point now);
+    /// Whether an end of another searcher is known that lies within `same_moment` of `end`.
+    [[nodiscard]] bool has_end_beside(const std::string& fingerprint, const searcher_end& end) const;
     bool set_answered(suspect& it, time_point when);
     void make_room(time_point now);
 
--- a/tests/gateway/crash_suspects_test.cpp
+++ b/tests/gateway/crash_suspects_test.cpp
@@ -57,6 +57,52 @@
     BOOST_TEST(suspects.ends_of("q", now) == 1U);
 }
 
+// Guards against a harmless request that is refused because its searchers crashed together, each under a copy
+// of it at another host.
+BOOST_AUTO_TEST_CASE(counts_searchers_that_end_together_under_copies_at_several_hosts_once) {
+    std::vector<crash_suspects> hosts(3);
+    std::vector<known_searcher_ptr> ended;
+    for (std::size_t n = 0; n < hosts.size(); ++n) {
+        ended.push_back(searcher("s" + std::to_string(n)));
+        hosts[n].add_loss("q", ended.back(), now, now + milliseconds(20 + 10 * static_cast<int>(n)));
+    }
+    now += milliseconds(60);
+    for (std::size_t n = 0; n < hosts.size(); ++n) {
+        hosts[n].note_ended(*ended[n], now);
+        now += milliseconds(10);
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (const auto& from : hosts) {
+            const auto reports = from.reports_since(0, now);
+            now += milliseconds(20);
+            for (auto& to : hosts) {
+                to.merge(reports, now);
+            }
+        }
+    }
+    for (const auto& it : hosts) {
+        BOOST_TEST(it.ends_of("q", now) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(counts_its_own_end_once_if_another_host_reports_one_of_the_same_moment_first) {
+    const auto it = searcher("s1");
+    suspects.add_loss("q", it, now, now + milliseconds(20));
+    now += milliseconds(80);
+    suspects.merge({{"q", {{"s2", milliseconds(50)}}, std::nullopt}}, now);
+    suspects.note_ended(*it, now);
+    BOOST_TEST(suspects.ends_of("q", now) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_over_the_refusal_of_another_host_whose_ends_came_in_quick_turn) {
+    end_under("q", "s1");
+    end_under("q", "s2");
+    end_under("q", "s3");
+    crash_suspects other;
+    other.merge(suspects.reports_since(0, now), now);
+    BOOST_TEST((other.of("q", now) == suspicion::refused));
+}
+
 BOOST_AUTO_TEST_CASE(counts_a_loss_only_if_the_searcher_ended) {
     const auto it = searcher("s1");
     BOOST_TEST(suspects.add_loss("q", it, now, now + milliseconds(20)));
