Use no connection to the store that has been idle for more than a second

Cause: a gateway that follows another one asks the store itself only when its knowledge is 4.2 s old, which leaves 0.8 s for one call. That call went out on a connection that had been idle for up to two minutes. If it had gone silent while its host still acknowledges bytes, as a proxy does, the kernel's keep-alive does not find it: the call timed out, the next one came one to three seconds later, on another such connection.

Change: connections idle for more than a second are not used again.

Test: a_connection_that_was_idle_for_long_is_not_used_again, 1 connection for both calls before, 2 now.

--- a/soak/wire.py
+++ b/soak/wire.py
@@ -66,6 +66,7 @@
         self.silent = False  # nothing passes, nothing is closed
         self.one_way = False  # nothing passes back
         self.writers = set()
+        self.mute = set()  # writers on whose connections nothing passes any more
         self.server = None
 
     async def start(self, ip):
@@ -76,6 +77,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence_open(self):
+        """The connections that are open now go silent for good; new ones work."""
+        self.mute |= self.writers
+
     async def accept(self, reader, writer):
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
@@ -88,11 +93,12 @@
         except asyncio.CancelledError:
             pass
         self.writers -= {writer, far_writer}
+        self.mute -= {writer, far_writer}
 
     async def pump(self, reader, writer, back):
         try:
             while data := await reader.read(65536):
-                while self.silent or (back and self.one_way):
+                while self.silent or writer in self.mute or (back and self.one_way):
                     await asyncio.sleep(0.05)
                 if self.delay:
                     await asyncio.sleep(self.delay)
--- a/src/skylarkseam/shell/http_client.cpp
+++ b/src/skylarkseam/shell/http_client.cpp
@@ -13,6 +13,9 @@
 
 constexpr long default_connections_per_host = 128;
 constexpr long max_cached_connections = 16384;
+/// A connection that has been idle for longer is not used again: it may have gone silent without an error,
+/// and its host may still acknowledge what it is sent.
+constexpr long reusable_idle_s = 1;
 constexpr int unacknowledged_timeout_ms = 2000; ///< less than the calls' own time-outs
 constexpr int keep_alive_idle_s = 2;
 constexpr int keep_alive_probes = 2;
@@ -239,6 +242,7 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, reusable_idle_s);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &limit_socket_silence);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(to_ms(request.timeout))));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &write_body);
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -1,5 +1,7 @@
 // HTTP by the loop: the server and the client against each other, and the server against clients that
 // misbehave.
+#include "scripted_server.hpp"
+
 #include <skylarkseam/shell/http_client.hpp>
 #include <skylarkseam/shell/http_server.hpp>
 #include <skylarkseam/shell/socket_address.hpp>
@@ -9,8 +11,10 @@
 #include <array>
 #include <cerrno>
 #include <map>
+#include <optional>
 #include <sys/socket.h>
 #include <tests/shell/loop_fixture.hpp>
+#include <thread>
 #include <unistd.h>
 
 using namespace skylarkseam;
@@ -296,6 +300,30 @@
     BOOST_TEST(response.reset);
 }
 
+// Guards against a call that waits on an idle connection which has gone silent, while a new one would work.
+BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_long_is_not_used_again) {
+    scripted_server upstream(loop, [](const std::string&) {
+        return scripted_server::reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    });
+    address = upstream.address;
+    const auto status_of_next = [&] {
+        http_request request;
+        request.url = "http://" + address + "/x";
+        request.timeout = milliseconds(300);
+        std::optional<int> status;
+        client.send(std::move(request), [&](const http_response& it) { status = it.status; });
+        BOOST_REQUIRE(run_until([&] { return status.has_value(); }));
+        return *status;
+    };
+    BOOST_TEST(status_of_next() == 200);
+    BOOST_TEST(status_of_next() == 200);
+    BOOST_TEST(upstream.accepted == 1);
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(2200)); // The library measures idle time by its own clock.
+    BOOST_TEST(status_of_next() == 200);
+    BOOST_TEST(upstream.accepted == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_must_not_run_twice_is_sent_once) {
     hanging_up_upstream upstream(loop);
     address = bound_address(upstream.fd);
