Replace a link between gateways that was silent under a call, and no idle one

Cause: the time without a byte was counted while nothing was asked, so that a connection idle for 3 s was closed half a second after the next call, though its peer only held the answer. A call that timed out left its connection in use for the next one.

Change: silence counts from when streams are open; a connection on which nothing has come since a call that timed out is replaced by the next call.

Tests: a_peer_without_open_streams_is_not_taken_for_silent, a_connection_on_which_a_call_was_not_answered_is_replaced; both failed before.

--- a/src/skylarkseam/shell/peer_client.cpp
+++ b/src/skylarkseam/shell/peer_client.cpp
@@ -2,7 +2,9 @@
 #include <skylarkseam/shell/peer_transport.hpp>
 #include <skylarkseam/shell/socket_address.hpp>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace skylarkseam {
@@ -66,6 +68,7 @@
             return false;
         }
         stream->wire_id = id;
+        waiting_since_ = streams_.empty() ? loop_.now() : waiting_since_;
         streams_[id] = stream;
         flush_soon();
         return true;
@@ -93,13 +96,22 @@
         if (streams_.empty()) {
             return;
         }
-        if (now - last_received() > silent_after) {
+        // A connection without open streams is silent by itself.
+        const auto silence = now - std::max(last_received(), waiting_since_);
+        if (silence > silent_after) {
             close("the peer has gone silent");
-        } else if (now - last_received() > ping_after) {
+        } else if (silence > ping_after) {
             ping();
         }
     }
 
+    /// Handles a call that was made at `began` and has timed out.
+    void note_timeout(time_point began) { unanswered_since_ = began; }
+    /// Whether nothing has come since a call that has timed out was made.
+    [[nodiscard]] bool unanswered() const {
+        return unanswered_since_ && last_received() <= *unanswered_since_;
+    }
+
 protected:
     void on_begin_headers(std::int32_t) override {}
 
@@ -182,6 +194,8 @@
 
     std::unordered_map<std::int32_t, std::shared_ptr<client_stream>> streams_;
     time_point started_;
+    time_point waiting_since_{}; ///< Since when streams are open
+    std::optional<time_point> unanswered_since_;
     lost on_lost_;
 };
 
@@ -226,6 +240,9 @@
     /// The connection to a peer, started where there is none; null where none can be started now.
     client_link* link_to(const std::string& address) {
         auto& to = targets[address];
+        if (to.link && !to.link->closed() && to.link->unanswered()) {
+            to.link->close("the peer has gone silent");
+        }
         if (to.link && !to.link->closed()) {
             return to.link.get();
         }
@@ -326,8 +343,12 @@
             loop->cancel(state->timer);
             state->on_reply(std::move(end), std::move(state->frame));
         });
-    state->timer = loop->run_after(timeout, [this, state] {
+    state->timer = loop->run_after(timeout, [this, state, address, began = loop->now()] {
         reset(state->stream);
+        const auto to = impl_->targets.find(address);
+        if (to != impl_->targets.end() && to->second.link) {
+            to->second.link->note_timeout(began);
+        }
         state->on_reply({false, true, "the call timed out", false}, {});
     });
 }
--- a/tests/shell/peer_transport_test.cpp
+++ b/tests/shell/peer_transport_test.cpp
@@ -177,6 +177,51 @@
     ::close(fd);
 }
 
+// Guards against a connection that is given up because nothing was asked on it for some time.
+BOOST_AUTO_TEST_CASE(a_peer_without_open_streams_is_not_taken_for_silent) {
+    loop.pause_clock();
+    const auto one = open("echo", "x");
+    BOOST_REQUIRE(run_until([&] { return one->ended; }));
+    loop.advance(seconds(6));
+    run_turns(10);
+    const auto two = open("hold", "y");
+    BOOST_REQUIRE(run_until([&] { return held.count("y") == 1; }));
+    for (int it = 0; it < 4; ++it) {
+        loop.advance(milliseconds(500));
+        run_turns(10);
+    }
+    BOOST_TEST(!two->ended);
+}
+
+// Guards against a connection that is used again after it has gone silent under a call.
+BOOST_AUTO_TEST_CASE(a_connection_on_which_a_call_was_not_answered_is_replaced) {
+    const int fd = open_listener("127.0.0.1:0");
+    address = bound_address(fd);
+    loop.pause_clock();
+    int answers = 0;
+    const auto call = [&] {
+        client.call(address, "echo", "x", milliseconds(700),
+                    [&](const stream_end&, const std::string&) { ++answers; });
+        run_turns(10);
+        loop.advance(milliseconds(701));
+        run_turns(10);
+    };
+    call();
+    call();
+    BOOST_TEST(answers == 2);
+    int connections = 0;
+    while (true) {
+        const int accepted = ::accept(fd, nullptr, nullptr);
+        if (accepted < 0) {
+            break;
+        }
+        ++connections;
+        ::close(accepted);
+    }
+    BOOST_TEST(connections == 2);
+    ::close(fd);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_is_not_answered_times_out) {
     loop.pause_clock();
     std::string detail;
