--- a/tests/gateway/spread_world.cpp
+++ b/tests/gateway/spread_world.cpp
@@ -125,7 +125,7 @@
         at(now_ + call.timeout, [this, &it, kind = call.kind] { deliver(it, kind, {}); });
         return;
     case store_access::served:
-        at(now_ + store_latency / 2, [this, &it, call] { serve(it, call); });
+        at(now_ + way_to_store(it), [this, &it, call] { serve(it, call); });
         return;
     }
 }
@@ -138,7 +138,7 @@
         parked_.push_back({&it, call, now_ + call.wait});
         return;
     }
-    at(now_ + store_latency / 2,
+    at(now_ + way_to_store(it),
        [this, &it, call, answer = answer_to(call)] { deliver(it, call.kind, answer); });
 }
 
@@ -169,9 +169,10 @@
             parked_.push_back(std::move(it));
             continue;
         }
-        at(now_ + store_latency / 2, [this, host = it.host, call = it.call, answer = answer_to(it.call)] {
-            deliver(*host, call.kind, answer);
-        });
+        at(now_ + way_to_store(*it.host),
+           [this, host = it.host, call = it.call, answer = answer_to(it.call)] {
+               deliver(*host, call.kind, answer);
+           });
     }
 }
 
@@ -348,8 +349,12 @@
     return found == by_address_.end() ? nullptr : found->second;
 }
 
+duration spread_world::way_to_store(const spread_host& it) {
+    return store_latency / 2 + it.extra_delay;
+}
+
 duration spread_world::latency(const spread_host& a, const spread_host& b) {
-    return a.who.zone == b.who.zone ? zone_latency : region_latency;
+    return (a.who.zone == b.who.zone ? zone_latency : region_latency) + a.extra_delay + b.extra_delay;
 }
 
 } // namespace skylarkseam::testing
--- a/tests/gateway/spread_world.hpp
+++ b/tests/gateway/spread_world.hpp
@@ -29,6 +29,7 @@
     std::unique_ptr<follower_polls> polls;
     store_access access = store_access::served;
     bool frozen = false;
+    duration extra_delay{}; ///< Additional delay of each message to or from the host, one way
     std::uint64_t last_poll = 0;
     std::uint64_t open_poll = 0; ///< The poll that waits for an answer; 0 if there is none
     std::uint64_t store_calls = 0;
@@ -91,6 +92,7 @@
     void note_evacuations(spread_host& it);
     [[nodiscard]] spread_host* at_address(const std::string& address);
     [[nodiscard]] static duration latency(const spread_host& a, const spread_host& b);
+    [[nodiscard]] static duration way_to_store(const spread_host& it);
 
     peer_timing timing_;
     time_point now_{seconds(100)};
