--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -125,7 +125,7 @@
     [[nodiscard]] bool expired(const suspect& it, time_point now) const;
     /// Returns false if the end is known or does not count.
     bool add_end(const std::string& fingerprint, searcher_end end, time_point now);
-    /// Whether an end of another searcher is known that lies within `same_moment` of `end`.
+    /// Whether an end of another searcher is known within `same_moment` of `end`.
     [[nodiscard]] bool has_end_beside(const std::string& fingerprint, const searcher_end& end) const;
     bool set_answered(suspect& it, time_point when);
     void make_room(time_point now);
--- a/src/skylarkseam/shell/peer_client.cpp
+++ b/src/skylarkseam/shell/peer_client.cpp
@@ -14,6 +14,7 @@
 constexpr duration connect_timeout = seconds(1);
 constexpr duration ping_after = seconds(1);   ///< silence on a connection with open streams
 constexpr duration silent_after = seconds(3); ///< silence after which its streams are given up
+constexpr const char* silent_fault = "the peer is silent";
 constexpr duration reconnect_interval = milliseconds(100);
 
 struct client_stream {
@@ -99,7 +100,7 @@
         // A connection without open streams is silent by itself.
         const auto silence = now - std::max(last_received(), waiting_since_);
         if (silence > silent_after) {
-            close("the peer has gone silent");
+            close(silent_fault);
         } else if (silence > ping_after) {
             ping();
         }
@@ -241,7 +242,7 @@
     client_link* link_to(const std::string& address) {
         auto& to = targets[address];
         if (to.link && !to.link->closed() && to.link->unanswered()) {
-            to.link->close("the peer has gone silent");
+            to.link->close(silent_fault);
         }
         if (to.link && !to.link->closed()) {
             return to.link.get();
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -119,11 +119,14 @@
         const auto watch_of = [](const std::string& object) {
             return R"({"Deleted":false,"Object":)" + object + "}";
         };
+        std::string items = other;
+        items.append(",").append(entry);
+        std::string events = R"({"events":[)";
+        events.append(watch_of(other)).append(",").append(watch_of(entry)).append(R"(],"AsOf":530})");
         store_call watch = listing(store_kind::searchers);
         watch.watch = true;
         for (const auto& answer :
-             {read(listing(store_kind::searchers), page_of(other + "," + entry)),
-              read(watch, R"({"events":[)" + watch_of(other) + "," + watch_of(entry) + R"(],"AsOf":530})")}) {
+             {read(listing(store_kind::searchers), page_of(items)), read(watch, events)}) {
             BOOST_TEST_REQUIRE((answer.status == store_status::ok), to.substr(0, 40));
             BOOST_TEST(answer.page.revision == 530U);
             BOOST_TEST_REQUIRE(answer.page.entries.size() == 2U);
