--- a/src/skylarkseam/gateway/crash_suspects.hpp
+++ b/src/skylarkseam/gateway/crash_suspects.hpp
@@ -28,7 +28,7 @@
     duration answer_memory = seconds(60);
     /// Time between two ends on different hosts within which they may have the same cause: neither attempt
     /// was sent after the other one's end was known.
-    duration same_moment = milliseconds(250);
+    duration same_moment = milliseconds(90);
     std::size_t max_suspects = 512;
     std::size_t max_losses = 256;
 };
