--- a/review/lib_3.py
+++ b/review/lib_3.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts of the third review: a store, searchers and clients, and the gateways as processes."""
+"""Stand-ins of the cases 7 and 10: a store, searchers and clients, and the gateways as processes."""
 
 import asyncio
 import copy
