http_server: end each request with its connection, and keep arguments from the library

Cause: libmicrohttpd keeps about 56 bytes for each argument in the connection's memory; where they don't suffice it drops the request without an answer and without calling the handler of ended requests. The server kept plain pointers to requests whose heads are not complete, so that it took the socket of a freed connection, by then a newer one's, and wrote 408 there.

Change: the server reads the arguments itself and ends the query string in the library's buffer, so that arguments cost no memory there. The request in progress is kept by connection and forgotten when the library reports the request's end, the connection's end or a next request on it.

--- a/src/skylarkseam/shell/http_exchange.cpp
+++ b/src/skylarkseam/shell/http_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstring>
+#include <string_view>
 
 namespace skylarkseam {
 namespace {
@@ -17,10 +19,29 @@
     return MHD_YES;
 }
 
-MHD_Result collect_argument(void* user, MHD_ValueKind, const char* key, const char* value) {
-    auto* const arguments = static_cast<std::vector<http_header>*>(user);
-    arguments->push_back({key, value == nullptr ? "" : value});
-    return MHD_YES;
+http_header argument_of(std::string_view field) {
+    const auto split = field.find('=');
+    const auto value = split == std::string_view::npos ? std::string_view() : field.substr(split + 1);
+    http_header out{std::string(field.substr(0, split)), std::string(value)};
+    for (auto* const it : {&out.name, &out.value}) {
+        std::replace(it->begin(), it->end(), '+', ' ');
+        *it = percent_decoded(std::move(*it));
+    }
+    return out;
+}
+
+std::vector<http_header> arguments_of(std::string_view target) {
+    std::vector<http_header> out;
+    const auto mark = target.find('?');
+    auto rest = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        if (end > 0) {
+            out.push_back(argument_of(rest.substr(0, end)));
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return out;
 }
 
 } // namespace
@@ -31,7 +52,21 @@
 
 void collect_fields(http_exchange& it) {
     MHD_get_connection_values(it.connection, MHD_HEADER_KIND, &collect_header, &it.request.headers);
-    MHD_get_connection_values(it.connection, MHD_GET_ARGUMENT_KIND, &collect_argument, &it.request.arguments);
+    it.request.arguments = arguments_of(it.request.target);
+}
+
+void keep_arguments_from_library(const char* uri) {
+    const auto* const mark = std::strchr(uri, '?');
+    if (mark != nullptr && mark[1] != '\0') {
+        // The text is in the connection's own buffer, which the library parses after this call.
+        const_cast<char*>(mark)[1] = '\0'; // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    }
+}
+
+std::string percent_decoded(std::string text) {
+    const std::size_t n = MHD_http_unescape(text.data());
+    text.resize(n);
+    return text;
 }
 
 outgoing_response refusal(int status, const std::string& kind, const std::string& detail) {
--- a/src/skylarkseam/shell/http_exchange.hpp
+++ b/src/skylarkseam/shell/http_exchange.hpp
@@ -30,6 +30,14 @@
 /// Fills in the headers, their names in lower case, and the arguments of the query string.
 void collect_fields(http_exchange& it);
 
+/// Ends the query string of a request, which has been copied, before the library reads it: the library spends
+/// 56 bytes of the connection's memory on each argument, and where they don't suffice it drops the request
+/// and the connection without an answer and without a call of the completion handler. \param uri  what the
+/// library passes to the URI callback
+void keep_arguments_from_library(const char* uri);
+
+[[nodiscard]] std::string percent_decoded(std::string text);
+
 /// An error of the server's own; the request has not run. 503 names a time to come back.
 [[nodiscard]] outgoing_response refusal(int status, const std::string& kind, const std::string& detail);
 
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace skylarkseam {
@@ -20,12 +21,6 @@
 constexpr std::string_view header_timeout_answer =
     "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-std::string decoded(std::string text) {
-    const std::size_t n = MHD_http_unescape(text.data());
-    text.resize(n);
-    return text;
-}
-
 std::string find_value(const std::vector<http_header>& list, const std::string& name) {
     for (const auto& it : list) {
         if (it.name == name) {
@@ -50,7 +45,7 @@
     std::size_t begin = 1;
     while (begin < path.size()) {
         const auto end = std::min(path.find('/', begin), path.size());
-        parts.push_back(decoded(path.substr(begin, end - begin)));
+        parts.push_back(percent_decoded(path.substr(begin, end - begin)));
         begin = end + 1;
     }
     return parts;
@@ -69,8 +64,12 @@
     bool run_posted = false;
     std::uint64_t rejected = 0;
     std::size_t held = 0; ///< bytes of all exchanges
-    std::unordered_set<std::shared_ptr<http_exchange>> exchanges;
-    std::unordered_set<http_exchange*> reading; ///< whose headers are not complete
+    /// The request in progress on each connection. The library frees a connection, at times without a word on
+    /// its request, only after it has been removed from here.
+    std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange>> current;
+    // Subsets of `current`.
+    std::unordered_set<std::shared_ptr<http_exchange>> exchanges; ///< accepted, and not ended
+    std::unordered_set<std::shared_ptr<http_exchange>> reading;   ///< whose headers are not complete
     timer_id reading_timer = -1;
 
     impl(event_loop& event_loop, http_limits http_limits, handler request_handler, gone_handler on_leave)
@@ -102,22 +101,23 @@
 
     static void* on_uri(void* user, const char* uri, MHD_Connection* connection) {
         auto* const self = static_cast<impl*>(user);
-        auto* const holder = new std::shared_ptr<http_exchange>(std::make_shared<http_exchange>());
-        auto& it = **holder;
-        it.connection = connection;
-        it.began = self->loop.now();
-        const std::string whole = uri;
-        it.request.path = whole.substr(0, whole.find('?'));
-        it.request.target = whole;
-        self->reading.insert(&it);
+        self->end(connection);
+        auto it = std::make_shared<http_exchange>();
+        it->connection = connection;
+        it->began = self->loop.now();
+        it->request.target = uri;
+        it->request.path = it->request.target.substr(0, it->request.target.find('?'));
+        keep_arguments_from_library(uri);
+        self->reading.insert(it);
+        self->current[connection] = std::move(it);
         self->watch_reading();
-        return holder;
+        return nullptr;
     }
 
     static MHD_Result on_access(void* user, MHD_Connection* connection, const char*, const char* method,
-                                const char*, const char* data, std::size_t* size, void** state) {
+                                const char*, const char* data, std::size_t* size, void**) {
         auto* const self = static_cast<impl*>(user);
-        const auto& it = *static_cast<std::shared_ptr<http_exchange>*>(*state);
+        const auto it = self->current.at(connection);
         if (it->request.method.empty()) {
             self->begin(it, method);
             return MHD_YES;
@@ -133,26 +133,36 @@
         return self->hand_over(it, connection);
     }
 
-    static void on_completed(void* user, MHD_Connection*, void** state, MHD_RequestTerminationCode) {
-        auto* const self = static_cast<impl*>(user);
-        auto* const holder = static_cast<std::shared_ptr<http_exchange>*>(*state);
-        if (holder == nullptr) {
+    static void on_completed(void* user, MHD_Connection* connection, void**, MHD_RequestTerminationCode) {
+        static_cast<impl*>(user)->end(connection);
+    }
+
+    static void on_connection(void* user, MHD_Connection* connection, void**,
+                              MHD_ConnectionNotificationCode code) {
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+            static_cast<impl*>(user)->end(connection);
+        }
+    }
+
+    /// Ends the request in progress on a connection, if there is one; nothing uses the connection afterwards.
+    void end(MHD_Connection* connection) {
+        const auto found = current.find(connection);
+        if (found == current.end()) {
             return;
         }
-        auto& it = **holder;
-        it.alive = false;
-        self->held -= it.held;
-        self->reading.erase(&it);
-        self->exchanges.erase(*holder);
-        delete holder;
-        *state = nullptr;
+        const auto it = std::move(found->second);
+        current.erase(found);
+        it->alive = false;
+        held -= it->held;
+        reading.erase(it);
+        exchanges.erase(it);
     }
 
     void begin(const std::shared_ptr<http_exchange>& it, const char* method) {
         it->id = ++last_id;
         it->request.id = it->id;
         it->request.method = method;
-        reading.erase(it.get());
+        reading.erase(it);
         collect_fields(*it);
         it->request.round_trip = round_trip_of(socket_of(*it));
         set_idle_timeout(it->connection);
@@ -220,13 +230,13 @@
     }
 
     void end_slow_readings() {
-        std::vector<http_exchange*> slow;
-        for (auto* const it : reading) {
+        std::vector<std::shared_ptr<http_exchange>> slow;
+        for (const auto& it : reading) {
             if (loop.now() - it->began >= limits.header_timeout) {
                 slow.push_back(it);
             }
         }
-        for (auto* const it : slow) {
+        for (const auto& it : slow) {
             ++rejected;
             reading.erase(it);
             const int fd = socket_of(*it);
@@ -350,9 +360,10 @@
     impl_->daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &impl::on_access, impl_.get(),
         MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, &impl::on_uri, impl_.get(),
-        MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, impl_.get(), MHD_OPTION_CONNECTION_LIMIT,
-        impl_->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT, first_request_timeout_s,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, impl_->limits.header_bytes, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, impl_.get(), MHD_OPTION_NOTIFY_CONNECTION,
+        &impl::on_connection, impl_.get(), MHD_OPTION_CONNECTION_LIMIT, impl_->limits.connections,
+        MHD_OPTION_CONNECTION_TIMEOUT, first_request_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        impl_->limits.header_bytes, MHD_OPTION_END);
     if (impl_->daemon == nullptr) {
         throw std::runtime_error("the HTTP server could not start on " + address);
     }
