peer_server: a trailer keeps the stream of its request

A program that reaches the peers' port and sends a trailer got 505 for a sound request; after a request that was refused for its size, nghttp2 read the answer from a stream that had been freed.

Cause: nghttp2 reports the begin of headers for trailers as well, and the server made a new stream for each.

Evidence: peer_endings_test, with_a_trailer_keeps_its_path_and_body got 505 before, 200 now.

--- a/src/skylarkseam/shell/peer_server.cpp
+++ b/src/skylarkseam/shell/peer_server.cpp
@@ -71,7 +71,10 @@
 
 protected:
     void on_begin_headers(std::int32_t stream) override {
-        streams_[stream] = std::make_shared<server_stream>(this, stream);
+        // A trailer begins headers too; the stream, whose answer may be on its way, stays.
+        if (!streams_.contains(stream)) {
+            streams_[stream] = std::make_shared<server_stream>(this, stream);
+        }
     }
 
     void on_header(std::int32_t stream, std::string name, std::string value) override {
