peer_server: refuse a request without a path

A CONNECT request on the peers' port ended the process: it has no path, and the path was cut after its first character without a look. It is answered with 404 now, like any topic that isn't served.

Evidence: peer_endings_test, without_a_path_is_refused: std::out_of_range before, passes now.

--- a/src/skylarkseam/shell/peer_server.cpp
+++ b/src/skylarkseam/shell/peer_server.cpp
@@ -112,7 +112,9 @@
             reject(stream, *kept, "505");
             return;
         }
-        const auto handler = shared_.handlers.find(std::string_view(kept->path).substr(1));
+        const bool has_path = !kept->path.empty(); // CONNECT has none
+        const auto handler =
+            has_path ? shared_.handlers.find(std::string_view(kept->path).substr(1)) : shared_.handlers.end();
         if (handler == shared_.handlers.end()) {
             reject(stream, *kept, "404");
             return;
--- a/tests/shell/peer_endings_test.cpp
+++ b/tests/shell/peer_endings_test.cpp
@@ -1,5 +1,5 @@
 // Requests to the server between nodes that end in unusual ways, from a client that speaks HTTP/2 and nothing
-// more of the protocol: trailers after a request that was refused, and streams that
+// more of the protocol: methods without a path, trailers after a request that was refused, and streams that
 // are reset at each point. The server goes on and uses nothing of a stream that has ended.
 #include <skylarkseam/shell/peer_transport.hpp>
 #include <skylarkseam/shell/socket_address.hpp>
@@ -178,6 +178,15 @@
 
 BOOST_FIXTURE_TEST_SUITE(a_request_between_nodes, peer_endings_fixture)
 
+// Guards against the end of the process by a request without a path.
+BOOST_AUTO_TEST_CASE(without_a_path_is_refused) {
+    raw_peer peer(address);
+    peer.request({{":method", "CONNECT"}, {":authority", "a"}, {"x-skylarkseam-protocol", "1"}}, {}, false);
+    BOOST_TEST(run_to(peer, 1));
+    BOOST_TEST(peer.statuses == std::vector<std::string>{"404"}, boost::test_tools::per_element());
+    check_serves();
+}
+
 // Guards against an answer that is read from a stream which the trailer has replaced.
 BOOST_AUTO_TEST_CASE(that_was_refused_may_go_on_with_a_trailer) {
     raw_peer peer(address);
