Give each zone a second source of searchers' reports

Cause: a follower learns of the store's changes from one gateway alone, and leaves it when it is silent for 2.2 s. No time there was derived from the limit at cold searchers, which counts single seconds.

Change: while a service limits the rate at its cold searchers, the second gateway of each zone watches the searchers in the store as well, and the other followers poll it besides the first. Its polls state the store's revision that is known, so that nothing is sent twice from one source. A gateway that takes over and has watched the searchers goes on with that watch. No time changes; without such a limit no call is added. A gateway of an earlier version refuses the new topic and is asked again after 2.5 s.

--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -45,7 +45,7 @@
     }
     auto& it = members_[who.name];
     if (!(it.who == who)) {
-        it = {who, last_heard, {}, false, {}};
+        it = {who, last_heard, {}, {}, false, {}};
     }
     it.last_heard = std::max(it.last_heard, last_heard);
 }
@@ -109,8 +109,60 @@
     return first_of_zone(*next, now);
 }
 
+bool peer_group::is_second_source(time_point now) const {
+    const auto* const first = first_of_zone(self_.zone, now);
+    if (!second_wanted_ || first == nullptr || self_.name < first->who.name) {
+        return false;
+    }
+    return std::none_of(members_.begin(), members_.end(), [&](const auto& it) {
+        const auto& who = it.second.who;
+        return who.zone == self_.zone && who.name != first->who.name && who.name < self_.name &&
+               now >= it.second.backoff_until;
+    });
+}
+
+const peer_group::member* peer_group::second_target(time_point now) const {
+    const auto* const first = first_of_zone(self_.zone, now);
+    if (first == nullptr || self_.name < first->who.name || is_second_source(now)) {
+        return nullptr;
+    }
+    for (const auto& [name, it] : members_) {
+        if (it.who.zone == self_.zone && &it != first && now >= it.backoff_until) {
+            return now >= it.second_backoff_until ? &it : nullptr;
+        }
+    }
+    return nullptr;
+}
+
+void peer_group::take_second_calls(time_point now, std::vector<peer_call>& out) {
+    if (!second_wanted_ || second_open_ || now < second_due_) {
+        return;
+    }
+    second_due_ = now + timing_.discovery_interval;
+    if (const auto* const target = second_target(now); target != nullptr) {
+        second_open_ = true;
+        out.push_back({peer_call::kind::follow_second, target->who.address});
+    }
+}
+
+void peer_group::take_second_answer(const peer_call& call, bool answered, time_point now) {
+    second_open_ = false;
+    second_due_ = now;
+    for (auto& [name, it] : members_) {
+        if (it.who.address != call.address) {
+            continue;
+        }
+        if (answered) {
+            it.last_heard = now;
+        } else {
+            it.second_backoff_until = now + timing_.backoff;
+        }
+    }
+}
+
 void peer_group::take_calls(time_point now, std::vector<peer_call>& out) {
     drop_expired(now);
+    take_second_calls(now, out);
     const auto* const target = follow_target(now);
     if (!follow_open_ && now >= follow_due_) {
         follow_due_ = now + timing_.discovery_interval;
@@ -139,6 +191,10 @@
 
 void peer_group::take_answer(const peer_call& call, const std::optional<group_view>& view, duration age,
                              time_point now) {
+    if (call.what == peer_call::kind::follow_second) {
+        take_second_answer(call, view.has_value(), now);
+        return;
+    }
     if (view) {
         merge(*view, now);
     }
@@ -266,6 +322,9 @@
     if (!follow_open_) {
         next = std::min(*next, follow_due_);
     }
+    if (second_wanted_ && !second_open_) {
+        next = std::min(*next, second_due_);
+    }
     return next;
 }
 
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -3,6 +3,10 @@
 // polling. The watching gateways follow each other in a ring over the zones, so that a gateway which has
 // silently lost its connection to the store still receives changes. A gateway without a current source
 // watches the store itself, so service does not depend on the group.
+//
+// Where reports of searchers count by the second, a zone has a second source of them: its second gateway
+// watches the searchers in the store too, and the others poll it as well. So a report arrives at once
+// although any one gateway is silent, without a shorter time until a silent source is left.
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
@@ -48,6 +52,8 @@
     duration discovery_interval = milliseconds(250); ///< Time between greetings while no member is known
     duration greet_interval = seconds(2);            ///< Time between greetings of a watching gateway
     duration follow_wait = milliseconds(1500);       ///< Maximum time for which a long poll waits for changes
+    /// The same for a poll of the second source. It is longer, since nothing else is learned from the answer.
+    duration second_wait = seconds(5);
     duration call_timeout = milliseconds(700); ///< Timeout of a call, in addition to the wait of a long poll
     duration backoff = milliseconds(2500);     ///< Time for which a peer is not followed after a failed call
     /// Time for which a peer without current data is not followed.
@@ -77,14 +83,16 @@
     [[nodiscard]] static peer_timing within(duration bound);
 };
 
-/// A call to another gateway: a greeting exchanges group views, a follow call is a long poll for changes.
+/// A call to another gateway: a greeting exchanges group views, a follow call is a long poll for changes, and
+/// a call to the second source is one for registrations only.
 struct peer_call {
-    enum class kind { greet, follow };
+    enum class kind { greet, follow, follow_second };
     kind what = kind::greet;
     std::string address;
 };
 
-/// Membership and source selection of one gateway. Invariant: at most one follow call is open.
+/// Membership and source selection of one gateway. Invariant: at most one call of each kind of follow call is
+/// open.
 class peer_group {
 public:
     /// \param first_start  whether the whole deployment starts for the first time
@@ -105,6 +113,10 @@
     [[nodiscard]] bool should_watch_store(std::optional<time_point> confirmed, time_point now) const;
     /// Whether this gateway is the one that watches the store for its zone.
     [[nodiscard]] bool watches_store_for_zone(time_point now) const;
+    /// Sets whether the zone needs a second source of registrations.
+    void set_second_source(bool wanted) { second_wanted_ = wanted; }
+    /// Whether this gateway is the second source of its zone.
+    [[nodiscard]] bool is_second_source(time_point now) const;
     /// Whether an earlier gateway of the zone is known, so that this one watches the store only in its stead.
     [[nodiscard]] bool has_predecessor() const;
     [[nodiscard]] group_view view_for(const std::string& zone, time_point now) const;
@@ -126,6 +138,7 @@
         gateway_identity who;
         time_point last_heard{};
         time_point backoff_until{};
+        time_point second_backoff_until{}; ///< The same for calls to it as the second source
         bool stale = false;           ///< Whether it is not followed because it answered without current data
         time_point members_sent_at{}; ///< Time at which this gateway last sent it the list of members
     };
@@ -137,6 +150,10 @@
     void merge(const group_view& view, time_point now);
     [[nodiscard]] const member* first_of_zone(const std::string& zone, time_point now) const;
     [[nodiscard]] const member* follow_target(time_point now) const;
+    /// The second source to poll; null if there is none or this gateway is one of the two sources.
+    [[nodiscard]] const member* second_target(time_point now) const;
+    void take_second_calls(time_point now, std::vector<peer_call>& out);
+    void take_second_answer(const peer_call& call, bool answered, time_point now);
     void drop_expired(time_point now);
 
     gateway_identity self_;
@@ -156,6 +173,9 @@
     time_point follow_due_{};
     bool follow_open_ = false;
     std::string follow_address_;
+    bool second_wanted_ = false;
+    time_point second_due_{};
+    bool second_open_ = false;
     std::optional<time_point> followed_at_; ///< Time of the last follow answer with current data
 };
 
--- a/src/skylarkseam/gateway/routing.cpp
+++ b/src/skylarkseam/gateway/routing.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool routing_table::limits_cold_rates() const {
+    return std::any_of(services.begin(), services.end(),
+                       [](const auto& it) { return it.second.cold_rate > 0.0; });
+}
+
 const gateway_route* find_route(const routing_table& table, std::string_view host, std::string_view path) {
     const auto name = normalized_host(host);
     const gateway_route* best = nullptr;
--- a/src/skylarkseam/gateway/routing.hpp
+++ b/src/skylarkseam/gateway/routing.hpp
@@ -79,6 +79,9 @@
     std::vector<gateway_route> routes;
     std::map<std::string, gateway_service> services;
     client_limits limits;
+
+    /// Whether a service limits the rate at its cold searchers, so that reports of them count by the second.
+    [[nodiscard]] bool limits_cold_rates() const;
 };
 
 /// Returns the route with the longest prefix of `path` among those of `host`, or nullptr. The port and the
--- a/src/skylarkseam/gateway/store_follower.cpp
+++ b/src/skylarkseam/gateway/store_follower.cpp
@@ -38,31 +38,42 @@
     : timing_(timing)
     , random_(seed) {}
 
-void store_follower::set_active(bool active, const store_revisions& known, time_point now) {
-    if (active == active_) {
+bool store_follower::includes(store_scope scope, store_kind kind) {
+    return scope == store_scope::everything ||
+           (scope == store_scope::searchers && kind == store_kind::searchers);
+}
+
+bool store_follower::may_probe() const {
+    return scope_ == store_scope::everything && relaxed_retry_ &&
+           std::all_of(states_.begin(), states_.end(), is_known);
+}
+
+void store_follower::set_scope(store_scope scope, const store_revisions& known, time_point now) {
+    if (scope == scope_) {
         return;
     }
-    active_ = active;
+    const auto before = std::exchange(scope_, scope);
     for (const auto kind : store_kinds) {
+        if (includes(before, kind) == includes(scope, kind)) {
+            continue;
+        }
         auto& it = state_of(kind);
         it.confirm_soon = true;
         const auto revision = known[static_cast<std::size_t>(kind)];
-        if (active && !it.open && revision >= it.revision && revision > 0) {
+        if (includes(scope, kind) && !it.open && revision >= it.revision && revision > 0) {
             it.revision = revision;
             it.listing_revision.reset();
             it.due = now;
         }
     }
-    probing_ = active && relaxed_retry_ && std::all_of(states_.begin(), states_.end(), is_known);
+    // A gateway that has watched the searchers knows whether the store answers.
+    probing_ = before == store_scope::nothing && may_probe();
 }
 
 void store_follower::take_calls(time_point now, std::vector<store_call>& out) {
-    if (!active_) {
-        return;
-    }
     for (const auto kind : store_kinds) {
         auto& it = state_of(kind);
-        if (it.open || now < it.due || suspended(kind)) {
+        if (it.open || now < it.due || !calls_for(kind)) {
             continue;
         }
         if (it.list_again_at && now >= *it.list_again_at) {
@@ -208,7 +219,7 @@
     it.cursor = {};
     ++it.failures;
     it.confirm_soon = true;
-    probing_ = relaxed_retry_ && std::all_of(states_.begin(), states_.end(), is_known);
+    probing_ = may_probe();
     if (!is_known(it)) {
         it.backoff = timing_.initial_backoff;
     } else if (relaxed_retry_) {
@@ -228,12 +239,9 @@
 
 std::optional<time_point> store_follower::next_wakeup() const {
     std::optional<time_point> next;
-    if (!active_) {
-        return next;
-    }
     for (const auto kind : store_kinds) {
         const auto& it = state_of(kind);
-        if (!it.open && !suspended(kind) && (!next || it.due < *next)) {
+        if (!it.open && calls_for(kind) && (!next || it.due < *next)) {
             next = it.due;
         }
     }
@@ -242,8 +250,9 @@
 
 std::optional<time_point> store_follower::lost_at() const {
     std::optional<time_point> first;
-    for (const auto& it : states_) {
-        if (active_ && it.failing_since && (!first || *it.failing_since < *first)) {
+    for (const auto kind : store_kinds) {
+        const auto& it = state_of(kind);
+        if (includes(scope_, kind) && it.failing_since && (!first || *it.failing_since < *first)) {
             first = it.failing_since;
         }
     }
--- a/src/skylarkseam/gateway/store_follower.hpp
+++ b/src/skylarkseam/gateway/store_follower.hpp
@@ -113,6 +113,13 @@
     std::variant<store_event::entry_changed, store_event::listed, store_event::confirmed,
                  store_event::store_lost, store_event::store_regained, store_event::restored>;
 
+/// The kinds of objects that a gateway reads from the store itself.
+enum class store_scope {
+    nothing,
+    searchers, ///< So that reports of searchers arrive by a second way
+    everything,
+};
+
 struct store_timing {
     /// Maximum time for which the store holds a watch open. It is short because a connection can stall for
     /// good without an error.
@@ -151,10 +158,10 @@
 public:
     store_follower(store_timing timing, std::uint64_t seed);
 
-    /// Starts or stops making new calls.
+    /// Sets the kinds for which new calls are made.
     /// \param known  revisions received from other gateways meanwhile, from which watches can continue
-    void set_active(bool active, const store_revisions& known, time_point now);
-    [[nodiscard]] bool active() const { return active_; }
+    void set_scope(store_scope scope, const store_revisions& known, time_point now);
+    [[nodiscard]] store_scope scope() const { return scope_; }
     /// Takes over the store's incarnation from another gateway. If it is new, everything is listed again.
     void note_incarnation(std::uint64_t incarnation, time_point now);
     [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
@@ -197,6 +204,7 @@
         std::optional<time_point> last_answer_at;
     };
 
+    [[nodiscard]] static bool includes(store_scope scope, store_kind kind);
     /// Whether the objects of the kind are known, from an own listing or from other gateways.
     [[nodiscard]] static bool is_known(const kind_state& it) { return it.listed_once || it.revision > 0; }
     [[nodiscard]] kind_state& state_of(store_kind kind) { return states_[static_cast<std::size_t>(kind)]; }
@@ -211,8 +219,12 @@
                       std::vector<store_output>& out);
     void handle_failure(store_kind kind, const store_answer& answer, time_point now,
                         std::vector<store_output>& out);
-    /// Whether calls of that kind are left out while it is not known whether the store answers.
-    [[nodiscard]] bool suspended(store_kind kind) const { return probing_ && kind != store_kind::routing; }
+    /// Whether calls of that kind are made. While it is not known whether the store answers, only the
+    /// configuration is asked for.
+    [[nodiscard]] bool calls_for(store_kind kind) const {
+        return includes(scope_, kind) && (!probing_ || kind == store_kind::routing);
+    }
+    [[nodiscard]] bool may_probe() const;
     [[nodiscard]] duration timeout_of(const kind_state& it) const;
     [[nodiscard]] duration jittered(duration base);
 
@@ -221,7 +233,7 @@
     std::array<kind_state, store_kinds.size()> states_;
     std::uint64_t incarnation_ = 0; ///< Highest incarnation of the store seen; 0 if none was stated
     std::optional<time_point> last_failure_;
-    bool active_ = true;
+    store_scope scope_ = store_scope::everything;
     bool relaxed_retry_ = false;
     bool probing_ = false; ///< Whether only the configuration is asked for, until the store answers
 };
--- a/src/skylarkseam/gateway/store_replica.cpp
+++ b/src/skylarkseam/gateway/store_replica.cpp
@@ -24,6 +24,7 @@
         it.value.revision = 0;
     }
     revisions_ = {};
+    newest_searcher_ = 0;
     settled_ = false;
     settles_at_.reset();
     return true;
@@ -77,6 +78,7 @@
     tombstones_ += !it.record ? 1 : 0;
     tombstones_ -= was_tombstone ? 1 : 0;
     registrations_[it.id] = {it, ++sequence_};
+    newest_searcher_ = std::max(newest_searcher_, it.revision);
     drop_oldest_tombstone();
     return true;
 }
@@ -216,6 +218,22 @@
     return update;
 }
 
+replica_update store_replica::searchers_after(const searchers_position& from) const {
+    replica_update update;
+    update.epoch = epoch_;
+    update.incarnation = incarnation_;
+    update.age = duration::max();
+    constexpr auto kind = static_cast<std::size_t>(store_kind::searchers);
+    update.revisions[kind] = revisions_[kind];
+    const auto first = incarnation_ > from.incarnation ? 0 : from.revision + 1;
+    for (const auto& [id, it] : registrations_) {
+        if (it.value.revision >= first) {
+            update.registrations.push_back(it.value);
+        }
+    }
+    return update;
+}
+
 std::set<std::string> store_replica::evacuated_zones() const {
     std::set<std::string> zones;
     for (const auto& [zone, it] : evacuations_) {
--- a/src/skylarkseam/gateway/store_replica.hpp
+++ b/src/skylarkseam/gateway/store_replica.hpp
@@ -50,6 +50,12 @@
     std::uint64_t incarnation = 0; ///< Highest incarnation of the store that the reader knows
 };
 
+/// Position of a reader of registrations only: it has all changes up to a revision of the store.
+struct searchers_position {
+    std::uint64_t revision = 0;
+    std::uint64_t incarnation = 0; ///< Incarnation of the store that the revision belongs to
+};
+
 /// The changes that a reader does not have yet, or a full copy.
 struct replica_update {
     std::uint64_t epoch = 0;
@@ -130,6 +136,16 @@
     /// Returns the changes since a reader's position `from`, or a full copy if they are no longer available.
     [[nodiscard]] replica_update update_since(const replica_position& from, time_point now) const;
 
+    [[nodiscard]] searchers_position searchers_known() const {
+        return {revisions_[static_cast<std::size_t>(store_kind::searchers)], incarnation_};
+    }
+    /// Whether registrations have changed since a reader's position.
+    [[nodiscard]] bool has_searchers_after(const searchers_position& from) const {
+        return incarnation_ > from.incarnation || newest_searcher_ > from.revision;
+    }
+    /// Returns the registrations that have changed since a reader's position, and nothing else.
+    [[nodiscard]] replica_update searchers_after(const searchers_position& from) const;
+
     [[nodiscard]] std::set<std::string> evacuated_zones() const;
     [[nodiscard]] const routing_source& routing() const { return routing_; }
     /// Whether every registration is known, from a listing of the store or from a gateway with a complete
@@ -163,7 +179,8 @@
     std::uint64_t completed_sequence_ =
         0; ///< Sequence number at which the replica became complete; 0 if it is not
     std::map<std::string, versioned<registration>> registrations_;
-    std::size_t tombstones_ = 0; ///< Number of tombstones among the registrations
+    std::uint64_t newest_searcher_ = 0; ///< Highest revision of a registration in the current incarnation
+    std::size_t tombstones_ = 0;        ///< Number of tombstones among the registrations
     std::map<std::string, versioned<evacuation>> evacuations_;
     routing_source routing_;
     store_revisions revisions_{};
--- a/src/skylarkseam/shell/knowledge_runner.cpp
+++ b/src/skylarkseam/shell/knowledge_runner.cpp
@@ -29,6 +29,7 @@
     , store_(loop, binding, store_url, epoch, store_timing::for_peers(timing),
              [this](std::vector<store_output> events) { take_store(std::move(events)); })
     , known_(epoch)
+    , second_(loop, client_, server_, known_, timing, second_handlers())
     , timer_(loop, [this] { tick(); })
     , polls_(timing)
     , census_(std::move(census)) {}
@@ -49,9 +50,28 @@
     for (const auto& it : polls_.take_all()) {
         answer(it);
     }
+    second_.answer_all();
+}
+
+second_source_handlers knowledge_runner::second_handlers() {
+    second_source_handlers out;
+    out.on_request = [this](const searchers_request& request) {
+        group_->take_call({request.sender, false, {}, {}}, loop_.now());
+        begin_incarnation(request.position.incarnation, request.sender.name);
+    };
+    out.on_answer = [this](const peer_call& it, const std::optional<replica_update>& update) {
+        if (update) {
+            take_registrations(*update, it.address);
+        }
+        group_->take_answer(it, update ? std::optional<group_view>(std::in_place) : std::nullopt, {},
+                            loop_.now());
+        tick();
+    };
+    return out;
 }
 
 void knowledge_runner::serve() {
+    second_.serve();
     server_.serve(greet_topic, [this](const std::string& body, const std::shared_ptr<peer_responder>& to) {
         const auto view = decode_group_view(body);
         if (view) {
@@ -90,7 +110,7 @@
     }
     suspects_.set_followed(group_->followed());
     const bool watch = group_->should_watch_store(known_.confirmed(), now);
-    store_.set_active(watch, group_->has_predecessor(), known_.revisions(), known_.incarnation());
+    store_.set_scope(scope(watch), group_->has_predecessor(), known_.revisions(), known_.incarnation());
     if (watch != watching_) {
         watching_ = watch;
         log_event(log_level::info, watch ? "watching_store" : "following",
@@ -112,6 +132,14 @@
     timer_.set(next_wakeup());
 }
 
+store_scope knowledge_runner::scope(bool watch) const {
+    if (watch) {
+        return store_scope::everything;
+    }
+    const bool second = known_.complete() && group_->is_second_source(loop_.now());
+    return second ? store_scope::searchers : store_scope::nothing;
+}
+
 std::optional<time_point> knowledge_runner::next_wakeup() const {
     auto next = group_->next_wakeup();
     const auto add = [&next](std::optional<time_point> when) {
@@ -121,6 +149,7 @@
     };
     add(known_.settles_at());
     add(polls_.next_wakeup(as_source()));
+    add(second_.next_wakeup());
     const auto lost_at = store_.state().lost_at();
     if (lost_at && *lost_at > loop_.now()) {
         add(lost_at);
@@ -148,6 +177,10 @@
                      });
         return;
     }
+    if (it.what == peer_call::kind::follow_second) {
+        second_.call(it, view.sender);
+        return;
+    }
     auto position = positions_[it.address];
     position.incarnation = known_.incarnation();
     const follow_request request{view, position, timing_.follow_wait};
@@ -175,21 +208,28 @@
         });
 }
 
-void knowledge_runner::take_update(const replica_update& update, const std::string& address) {
+bool knowledge_runner::take_registrations(const replica_update& update, const std::string& address) {
     if (update.incarnation < known_.incarnation()) {
         log_event(log_level::info, "peer_outdated",
                   {{"peer", address},
                    {"store_incarnation", update.incarnation},
                    {"known_incarnation", known_.incarnation()}});
-        return;
+        return false;
     }
     begin_incarnation(update.incarnation, address);
-    if (positions_[address].epoch != update.epoch) {
-        suspects_.note_restart(address);
-    }
     const auto changes = known_.apply(update);
     apply(changes.registrations);
     apply(changes.evacuations);
+    return true;
+}
+
+void knowledge_runner::take_update(const replica_update& update, const std::string& address) {
+    if (!take_registrations(update, address)) {
+        return;
+    }
+    if (positions_[address].epoch != update.epoch) {
+        suspects_.note_restart(address);
+    }
     if (update.routing && update.routing->version > known_.routing().version) {
         auto value = binding_.read_routing(update.routing->text);
         if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&value)) {
@@ -203,124 +243,6 @@
     positions_[address] = {update.epoch, update.sequence, known_.routing().version, known_.incarnation()};
 }
 
-void knowledge_runner::take_store(std::vector<store_output> events) {
-    begin_incarnation(store_.state().incarnation(), "store");
-    for (auto& it : events) {
-        std::visit([this](auto& event) { take_one(event); }, it);
-    }
-    settle();
-    answer_followers();
-    timer_.set(next_wakeup());
-}
-
-void knowledge_runner::take_one(store_event::entry_changed& event) {
-    auto& entry = event.entry;
-    const auto* const fault = std::get_if<unreadable_entry>(&entry.value);
-    if (fault != nullptr && !entry.deleted) {
-        log_event(log_level::warning, "entry_skipped",
-                  {{"kind", name_of(event.kind)}, {"name", entry.name}, {"fault", fault->fault}});
-    }
-    switch (event.kind) {
-    case store_kind::routing:
-        if (auto* const table = std::get_if<std::shared_ptr<const routing_table>>(&entry.value)) {
-            const routing_source source{(*table)->version, std::move(entry.text)};
-            const auto& current = known_.routing();
-            if (source.version < current.version ||
-                (source.version == current.version && source.text != current.text)) {
-                log_event(
-                    log_level::warning, "configuration_ignored",
-                    {{"version", source.version},
-                     {"in_force", current.version},
-                     {"revision", entry.revision},
-                     {"reason", source.version < current.version ? "older version"
-                                                                 : "same version with another content"}});
-            }
-            apply(source, std::move(*table), "store");
-        }
-        break;
-    case store_kind::searchers: {
-        registration change{entry.name, entry.revision, std::nullopt, event.store_was_away};
-        const auto* const record = std::get_if<searcher_record>(&entry.value);
-        if (record != nullptr && !entry.deleted) {
-            change.record = *record;
-        }
-        if (known_.apply(change)) {
-            apply(std::vector{change});
-        }
-        break;
-    }
-    case store_kind::evacuations: {
-        const evacuation change{entry.name, entry.revision, !entry.deleted};
-        if (known_.apply(change)) {
-            apply(std::vector{change});
-        }
-        break;
-    }
-    }
-}
-
-void knowledge_runner::take_one(store_event::listed& event) {
-    if (!event.complete) {
-        log_event(log_level::warning, "listing_incomplete",
-                  {{"kind", name_of(event.kind)}, {"entries", event.names.size()}});
-    } else if (event.kind == store_kind::searchers) {
-        apply(known_.retain_searchers(event.names, event.revision, event.store_was_away));
-    } else if (event.kind == store_kind::evacuations) {
-        apply(known_.retain_evacuations(event.names, event.revision));
-    }
-    known_.advance(event.kind, event.revision);
-    known_.confirm(event.kind, loop_.now());
-    note_complete();
-    log_event(log_level::info, "listed",
-              {{"kind", name_of(event.kind)}, {"entries", event.names.size()}, {"revision", event.revision}});
-}
-
-void knowledge_runner::take_one(store_event::confirmed& event) {
-    known_.advance(event.kind, event.revision);
-    known_.confirm(event.kind, loop_.now());
-}
-
-void knowledge_runner::take_one(store_event::store_lost& event) {
-    log_event(log_level::warning, "store_lost", {{"kind", name_of(event.kind)}, {"fault", event.detail}});
-}
-
-void knowledge_runner::take_one(store_event::store_regained& event) {
-    log_event(log_level::info, "store_regained",
-              {{"kind", name_of(event.kind)}, {"away_ms", static_cast<std::uint64_t>(to_ms(event.away))}});
-}
-
-void knowledge_runner::take_one(store_event::restored& event) {
-    begin_incarnation(event.to, "store");
-}
-
-void knowledge_runner::begin_incarnation(std::uint64_t incarnation, const std::string& source) {
-    const auto before = known_.incarnation();
-    if (!known_.begin_incarnation(incarnation) || before == 0) {
-        return;
-    }
-    log_event(log_level::warning, "store_restored",
-              {{"from", before},
-               {"to", incarnation},
-               {"source", source},
-               {"searchers_kept", known_.searchers()},
-               {"zones_kept_evacuated", known_.evacuated_zones().size()},
-               {"configuration_kept", known_.routing().version}});
-    suspect_store_.note_restored();
-    handlers_.on_store_restored();
-}
-
-void knowledge_runner::settle() {
-    const auto changes = known_.settle(loop_.now());
-    if (!changes.registrations.empty() || !changes.evacuations.empty()) {
-        log_event(log_level::warning, "not_written_again",
-                  {{"store_incarnation", known_.incarnation()},
-                   {"searchers", changes.registrations.size()},
-                   {"evacuations", changes.evacuations.size()}});
-    }
-    apply(changes.registrations);
-    apply(changes.evacuations);
-}
-
 void knowledge_runner::apply(const std::vector<registration>& changes) {
     if (!changes.empty()) {
         handlers_.on_searchers(changes);
@@ -342,6 +264,7 @@
               {{"version", source.version},
                {"from", from},
                {"knowledge_age_ms", static_cast<std::uint64_t>(to_ms(age()))}});
+    group_->set_second_source(table->limits_cold_rates());
     handlers_.on_routing(std::move(table));
 }
 
@@ -363,6 +286,7 @@
     for (const auto& it : polls_.take_due(as_source(), loop_.now())) {
         answer(it);
     }
+    second_.answer_due();
 }
 
 void knowledge_runner::answer(const held_poll& poll) {
@@ -386,6 +310,7 @@
            std::to_string(known_.searchers()) + R"(,"confirmed_ms_ago":)" + std::to_string(age) +
            R"(,"store_incarnation":)" + std::to_string(known_.incarnation()) + R"(,"hosts":)" +
            std::to_string(hosts_.total) + R"(,"watching_store":)" + (watching_ ? "true" : "false") +
+           R"(,"second_source":)" + (store_.scope() == store_scope::searchers ? "true" : "false") +
            R"(,"followers":)" + std::to_string(polls_.size()) + "}";
 }
 
--- a/src/skylarkseam/shell/knowledge_runner.hpp
+++ b/src/skylarkseam/shell/knowledge_runner.hpp
@@ -7,6 +7,7 @@
 #include <skylarkseam/gateway/peer_group.hpp>
 #include <skylarkseam/gateway/store_replica.hpp>
 #include <skylarkseam/shell/peer_transport.hpp>
+#include <skylarkseam/shell/second_source_runner.hpp>
 #include <skylarkseam/shell/store_runner.hpp>
 #include <skylarkseam/shell/suspect_runner.hpp>
 #include <skylarkseam/shell/suspect_store_runner.hpp>
@@ -62,6 +63,11 @@
     void tick();
     void call(const peer_call& it);
     void take_update(const replica_update& update, const std::string& address);
+    /// Takes over the registrations of an update. Returns false if it belongs to an earlier incarnation of
+    /// the store.
+    bool take_registrations(const replica_update& update, const std::string& address);
+    [[nodiscard]] second_source_handlers second_handlers();
+    [[nodiscard]] store_scope scope(bool watch) const;
     void take_store(std::vector<store_output> events);
     void take_one(store_event::entry_changed& event);
     void take_one(store_event::listed& event);
@@ -95,6 +101,7 @@
     suspect_store_runner suspect_store_;
     store_runner store_;
     store_replica known_;
+    second_source_runner second_;
     std::unique_ptr<peer_group> group_;
     wakeup_timer timer_;
     std::map<std::string, replica_position> positions_; ///< of this gateway at the others, by address
--- a/src/skylarkseam/shell/store_runner.cpp
+++ b/src/skylarkseam/shell/store_runner.cpp
@@ -11,18 +11,18 @@
     , http_(loop)
     , follower_(timing, seed)
     , timer_(loop, [this] { run(); }) {
-    follower_.set_active(false, {}, loop_.now());
+    follower_.set_scope(store_scope::nothing, {}, loop_.now());
 }
 
-void store_runner::set_active(bool active, bool in_stead, const store_revisions& known,
-                              std::uint64_t incarnation) {
+void store_runner::set_scope(store_scope scope, bool in_stead, const store_revisions& known,
+                             std::uint64_t incarnation) {
     follower_.set_relaxed_retry(in_stead);
     if (incarnation > follower_.incarnation()) {
         follower_.note_incarnation(incarnation, loop_.now());
         run();
     }
-    if (active != follower_.active()) {
-        follower_.set_active(active, known, loop_.now());
+    if (scope != follower_.scope()) {
+        follower_.set_scope(scope, known, loop_.now());
         run();
     }
 }
--- a/src/skylarkseam/shell/store_runner.hpp
+++ b/src/skylarkseam/shell/store_runner.hpp
@@ -15,11 +15,12 @@
     store_runner(event_loop& loop, const platform_binding& binding, std::string url, std::uint64_t seed,
                  const store_timing& timing, output_handler on_output);
 
-    /// Calls are made only while it is active. \param in_stead  another gateway should watch the store
+    /// Sets what is read from the store. \param in_stead  another gateway should watch the store
     /// \param known  what is known of the store from elsewhere
     /// \param incarnation  the store's incarnation that `known` belongs to
-    void set_active(bool active, bool in_stead, const store_revisions& known, std::uint64_t incarnation);
+    void set_scope(store_scope scope, bool in_stead, const store_revisions& known, std::uint64_t incarnation);
 
+    [[nodiscard]] store_scope scope() const { return follower_.scope(); }
     [[nodiscard]] const store_follower& state() const { return follower_; }
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
--- a/src/skylarkseam/wire/gateway_codec.cpp
+++ b/src/skylarkseam/wire/gateway_codec.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint32_t position_fields = 4;
 constexpr std::uint32_t request_fields = 3;
 constexpr std::uint32_t reply_fields = 2;
+constexpr std::uint32_t searchers_request_fields = 4;
 constexpr std::uint32_t update_fields = 9;
 constexpr std::uint32_t registration_fields = 4;
 constexpr std::uint32_t record_fields = 8;
@@ -200,6 +201,19 @@
     });
 }
 
+std::string encode(const searchers_request& request) {
+    return encode_message(searchers_request_fields, [&](packer& to) {
+        pack(to, request.sender);
+        to.pack(request.position.revision);
+        to.pack(request.position.incarnation);
+        to.pack(request.wait.count());
+    });
+}
+
+std::string encode(const replica_update& update) {
+    return encode_message(1, [&](packer& to) { pack(to, update); });
+}
+
 result<group_view> decode_group_view(std::string_view bytes) {
     return decode_message<group_view>(bytes, 1,
                                       [](field_reader& from) { return read_view(from.next_object()); });
@@ -228,4 +242,21 @@
     });
 }
 
+result<searchers_request> decode_searchers_request(std::string_view bytes) {
+    return decode_message<searchers_request>(bytes, searchers_request_fields, [](field_reader& from) {
+        searchers_request it;
+        field_reader sender(from.next_object(), identity_fields);
+        it.sender = read_identity(sender);
+        from.read_into(it.position.revision);
+        from.read_into(it.position.incarnation);
+        it.wait = from.next_duration();
+        return it;
+    });
+}
+
+result<replica_update> decode_replica_update(std::string_view bytes) {
+    return decode_message<replica_update>(bytes, 1,
+                                          [](field_reader& from) { return read_update(from.next_object()); });
+}
+
 } // namespace skylarkseam
--- a/tests/gateway/following_test.cpp
+++ b/tests/gateway/following_test.cpp
@@ -86,9 +86,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(resumes_watching_from_revisions_received_from_peers) {
-    follower.set_active(false, {}, now);
+    follower.set_scope(store_scope::nothing, {}, now);
     BOOST_TEST((next_call(store_kind::searchers) == std::nullopt));
-    follower.set_active(true, {0, 400, 0}, now);
+    follower.set_scope(store_scope::everything, {0, 400, 0}, now);
     const auto call = next_call(store_kind::searchers);
     BOOST_TEST(call->watch);
     BOOST_TEST(call->revision == 400U);
--- a/tests/gateway/restored_store_test.cpp
+++ b/tests/gateway/restored_store_test.cpp
@@ -138,9 +138,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(do_not_watch_from_revisions_of_an_earlier_incarnation) {
-    follower.set_active(false, {}, now);
+    follower.set_scope(store_scope::nothing, {}, now);
     follower.note_incarnation(2, now);
-    follower.set_active(true, {0, 0, 0}, now);
+    follower.set_scope(store_scope::everything, {0, 0, 0}, now);
     BOOST_TEST(!next_call()->watch);
 }
 
--- a/tests/gateway/spread_world.cpp
+++ b/tests/gateway/spread_world.cpp
@@ -1,5 +1,7 @@
 #include "spread_world.hpp"
 
+#include <skylarkseam/wire/gateway_codec.hpp>
+
 #include <algorithm>
 
 namespace skylarkseam::testing {
@@ -39,7 +41,7 @@
             it->group = std::make_unique<peer_group>(it->who, seeds, timing_, true, now_);
             it->polls = std::make_unique<follower_polls>(timing_);
             it->follower = std::make_unique<store_follower>(store_timing::for_peers(timing_), ++epoch);
-            it->follower->set_active(false, {}, now_);
+            it->follower->set_scope(store_scope::nothing, {}, now_);
             it->known = std::make_unique<store_replica>(epoch);
             by_address_[name] = it.get();
             list.push_back(std::move(it));
@@ -68,7 +70,7 @@
         }
         answer_parked();
         for_each([this](spread_host& it) {
-            if (!it.frozen) {
+            if (it.runs()) {
                 turn(it);
             }
         });
@@ -94,6 +96,25 @@
     answer_parked();
 }
 
+void spread_world::report(const std::string& searcher) {
+    ++revision_;
+    reported_at_[searcher] = now_;
+    searcher_record record;
+    record.id = searcher;
+    record.service = "desk";
+    record.cold_for = seconds(3);
+    changes_.push_back({store_kind::searchers, revision_, {searcher, revision_, false, record, {}}});
+    answer_parked();
+}
+
+void spread_world::limit_cold_rates() {
+    for_each([](spread_host& it) { it.group->set_second_source(true); });
+}
+
+void spread_world::kill(spread_host& it) {
+    it.killed = true;
+}
+
 void spread_world::turn(spread_host& it) {
     std::vector<peer_call> calls;
     it.group->take_calls(now_, calls);
@@ -101,8 +122,10 @@
         call_peer(it, call);
     }
     it.follower->set_relaxed_retry(it.group->has_predecessor());
-    it.follower->set_active(it.group->should_watch_store(it.known->confirmed(), now_), it.known->revisions(),
-                            now_);
+    const bool watch = it.group->should_watch_store(it.known->confirmed(), now_);
+    const bool second = it.known->complete() && it.group->is_second_source(now_);
+    const auto scope = second ? store_scope::searchers : store_scope::nothing;
+    it.follower->set_scope(watch ? store_scope::everything : scope, it.known->revisions(), now_);
     run_store_calls(it);
     answer_polls(it);
 }
@@ -117,7 +140,7 @@
 }
 
 void spread_world::send(spread_host& it, const store_call& call) {
-    switch (it.access) {
+    switch (it.mute || it.deaf ? store_access::silent : it.access) {
     case store_access::refused:
         at(now_ + store_reset_latency, [this, &it, kind = call.kind] { deliver(it, kind, {}); });
         return;
@@ -157,10 +180,10 @@
 void spread_world::answer_parked() {
     auto parked = std::exchange(parked_, {});
     for (auto& it : parked) {
-        const bool cut = it.host->access != store_access::served;
+        const bool cut = it.host->access != store_access::served || it.host->deaf;
         if (cut) {
             // The answer is lost; what the host sees is the end of its connection, or nothing.
-            const bool silent = it.host->access == store_access::silent;
+            const bool silent = it.host->access == store_access::silent || it.host->deaf;
             const auto when = silent ? it.until - it.call.wait + it.call.timeout : now_;
             at(when, [this, host = it.host, kind = it.call.kind] { deliver(*host, kind, {}); });
             continue;
@@ -177,6 +200,9 @@
 }
 
 void spread_world::deliver(spread_host& it, store_kind kind, store_answer answer) {
+    if (it.killed) {
+        return;
+    }
     if (it.frozen) {
         at(now_ + step, [this, &it, kind, answer] { deliver(it, kind, answer); });
         return;
@@ -188,6 +214,12 @@
             if (changed->kind == store_kind::routing) {
                 const auto& table = std::get<std::shared_ptr<const routing_table>>(changed->entry.value);
                 take_routing(it, {table->version, changed->entry.text});
+            } else if (changed->kind == store_kind::searchers) {
+                const auto& record = std::get<searcher_record>(changed->entry.value);
+                const registration reported{record.id, changed->entry.revision, record, false};
+                if (it.known->apply(reported)) {
+                    note_reports(it, {reported});
+                }
             } else {
                 it.known->apply(evacuation{changed->entry.name, changed->entry.revision, true});
             }
@@ -211,11 +243,20 @@
         fail_peer_call(it, call, timeout);
         return;
     }
+    if (other->killed) {
+        fail_peer_call(it, call, 2 * latency(it, *other));
+        return;
+    }
+    if (call.what == peer_call::kind::follow_second) {
+        call_second(it, *other, call);
+        return;
+    }
     const auto view = it.group->view_for({}, now_);
     const auto delay = latency(it, *other);
+    const bool passes_now = passes(it, *other);
     if (call.what == peer_call::kind::greet) {
-        at(now_ + delay, [this, &it, other, call, view, delay, timeout] {
-            if (other->frozen) {
+        at(now_ + delay, [this, &it, other, call, view, delay, timeout, passes_now] {
+            if (!passes_now || !passes(*other, it)) {
                 fail_peer_call(it, call, timeout);
                 return;
             }
@@ -228,10 +269,11 @@
     it.polls_to_other_zones += it.who.zone != other->who.zone ? 1 : 0;
     const auto wait = timing_.follow_wait;
     const auto position = it.positions[call.address];
+    it.bytes_sent += encode(follow_request{view, position, wait}).size();
     const auto id = ++it.last_poll;
     it.open_poll = id;
-    at(now_ + delay, [this, &it, other, view, position, wait, id] {
-        if (!other->frozen) {
+    at(now_ + delay, [this, &it, other, view, position, wait, id, passes_now] {
+        if (passes_now && other->runs()) {
             take_poll(*other, view, {id, it.who, position, now_, now_ + wait});
         }
     });
@@ -243,8 +285,64 @@
     });
 }
 
+void spread_world::call_second(spread_host& it, spread_host& source, const peer_call& call) {
+    const auto position = it.known->searchers_known();
+    const auto wait = timing_.second_wait;
+    it.second_bytes_sent += encode(searchers_request{it.who, position, wait}).size();
+    const auto id = ++it.last_poll;
+    it.open_second_poll = id;
+    if (passes(it, source)) {
+        at(now_ + latency(it, source), [this, &it, &source, position, wait, id] {
+            if (source.runs()) {
+                take_second_poll(source, it, {id, position, now_ + wait});
+            }
+        });
+    }
+    at(now_ + wait + timing_.call_timeout, [&it, this, call, id] {
+        if (it.open_second_poll == id) {
+            it.open_second_poll = 0;
+            it.group->take_answer(call, std::nullopt, {}, now_);
+        }
+    });
+}
+
+void spread_world::take_second_poll(spread_host& source, spread_host& from, const held_searcher_poll& poll) {
+    source.group->take_call({from.who, false, {}, {}}, now_);
+    // Polls of several hosts may have the same number.
+    const auto key = ++last_second_poll_;
+    source.second_followers[key] = {&from, poll.id};
+    source.second_polls.add({key, poll.position, poll.until});
+    answer_second_polls(source);
+}
+
+void spread_world::answer_second_polls(spread_host& source) {
+    for (const auto& poll : source.second_polls.take_due(*source.known, now_)) {
+        const auto [follower, id] = source.second_followers.extract(poll.id).mapped();
+        const auto update = source.known->searchers_after(poll.position);
+        source.second_bytes_sent += encode(update).size();
+        if (!passes(source, *follower)) {
+            continue;
+        }
+        at(now_ + latency(source, *follower),
+           [this, to = follower, from = source.who.address, update, id = id] {
+               if (to->open_second_poll != id || !to->runs()) {
+                   return;
+               }
+               to->open_second_poll = 0;
+               note_reports(*to, to->known->apply(update).registrations);
+               const peer_call call{peer_call::kind::follow_second, from};
+               to->group->take_answer(call, std::optional<group_view>(std::in_place), {}, now_);
+               turn(*to);
+           });
+    }
+}
+
 void spread_world::fail_peer_call(spread_host& it, const peer_call& call, duration after) {
-    at(now_ + after, [this, &it, call] { it.group->take_answer(call, std::nullopt, {}, now_); });
+    at(now_ + after, [this, &it, call] {
+        if (!it.killed) {
+            it.group->take_answer(call, std::nullopt, {}, now_);
+        }
+    });
 }
 
 void spread_world::take_poll(spread_host& source, const group_view& view, held_poll poll) {
@@ -259,6 +357,7 @@
 }
 
 void spread_world::answer_polls(spread_host& source) {
+    answer_second_polls(source);
     for (const auto& poll : source.polls->take_due(as_source(source), now_)) {
         answer_poll(source, poll);
     }
@@ -270,8 +369,12 @@
     const auto view =
         source.group->view_for_follower(follower->who, poll.position.epoch == update.epoch, now_);
     const peer_call call{peer_call::kind::follow, source.who.address};
+    source.bytes_sent += encode(follow_reply{view, update}).size();
+    if (!passes(source, *follower) && !follower->frozen) {
+        return;
+    }
     at(now_ + latency(source, *follower), [this, follower, call, view, update, id = poll.id] {
-        if (follower->open_poll == id) {
+        if (follower->open_poll == id && !follower->killed) {
             follower->open_poll = 0;
             take_update(*follower, call, view, update);
         }
@@ -280,7 +383,7 @@
 
 void spread_world::take_update(spread_host& it, const peer_call& call, const group_view& view,
                                const replica_update& update) {
-    it.known->apply(update);
+    note_reports(it, it.known->apply(update).registrations);
     if (update.routing) {
         take_routing(it, *update.routing);
     }
@@ -290,7 +393,7 @@
     it.positions[call.address] = {update.epoch, update.sequence, it.known->routing().version, 0};
     note_evacuations(it);
     it.group->take_answer(call, view, update.age, now_);
-    if (!it.frozen) {
+    if (it.runs()) {
         turn(it);
     }
 }
@@ -301,6 +404,12 @@
     }
 }
 
+void spread_world::note_reports(spread_host& it, const std::vector<registration>& changes) {
+    for (const auto& one : changes) {
+        it.reported_at[one.id] = now_;
+    }
+}
+
 void spread_world::note_evacuations(spread_host& it) {
     if (!it.evacuated_at && !it.known->evacuated_zones().empty()) {
         it.evacuated_at = now_;
@@ -312,7 +421,7 @@
     bool everywhere = true;
     for_each([&](spread_host& it) {
         const auto found = it.versions.find(version_);
-        if (it.access != store_access::served || it.frozen) {
+        if (it.access != store_access::served || !it.runs()) {
             return;
         }
         everywhere = everywhere && found != it.versions.end();
@@ -327,7 +436,7 @@
     duration longest{};
     bool everywhere = true;
     for_each([&](spread_host& it) {
-        if (it.access != store_access::served || it.frozen) {
+        if (it.access != store_access::served || !it.runs()) {
             return;
         }
         everywhere = everywhere && it.evacuated_at.has_value();
@@ -338,6 +447,13 @@
     return everywhere ? std::optional(longest) : std::nullopt;
 }
 
+std::optional<duration> spread_world::time_reported(const spread_host& it, const std::string& searcher) {
+    const auto found = it.reported_at.find(searcher);
+    const auto when = reported_at_.at(searcher);
+    return found != it.reported_at.end() && found->second >= when ? std::optional(found->second - when)
+                                                                  : std::nullopt;
+}
+
 std::uint64_t spread_world::store_calls() {
     std::uint64_t n = 0;
     for_each([&](spread_host& it) { n += it.store_calls; });
--- a/tests/gateway/spread_world.hpp
+++ b/tests/gateway/spread_world.hpp
@@ -1,9 +1,10 @@
 // Gateways that learn the store's changes from the store or from each other, in virtual time, with hosts that
-// the store refuses, hosts that are cut off from it and hosts that stand still.
+// the store refuses, hosts that are cut off from it, hosts that stand still and hosts that end.
 #pragma once
 
 #include <skylarkseam/gateway/follower_polls.hpp>
 #include <skylarkseam/gateway/peer_group.hpp>
+#include <skylarkseam/gateway/searcher_polls.hpp>
 #include <skylarkseam/gateway/store_follower.hpp>
 #include <skylarkseam/gateway/store_replica.hpp>
 
@@ -27,16 +28,30 @@
     std::unique_ptr<store_replica> known;
     std::map<std::string, replica_position> positions;
     std::unique_ptr<follower_polls> polls;
+    searcher_polls second_polls;
+    /// The follower of each held poll, and the poll's number there.
+    std::map<std::uint64_t, std::pair<spread_host*, std::uint64_t>> second_followers;
     store_access access = store_access::served;
     bool frozen = false;
+    bool killed = false;
+    /// Whether messages to the host, or from it, are lost: the store's and those of the other hosts.
+    bool deaf = false;
+    bool mute = false;
     duration extra_delay{}; ///< Additional delay of each message to or from the host, one way
     std::uint64_t last_poll = 0;
-    std::uint64_t open_poll = 0; ///< The poll that waits for an answer; 0 if there is none
+    std::uint64_t open_poll = 0;        ///< The poll that waits for an answer; 0 if there is none
+    std::uint64_t open_second_poll = 0; ///< The same at the second source
     std::uint64_t store_calls = 0;
     std::uint64_t polls_to_other_zones = 0;
     /// Time at which each version of the configuration came into force.
     std::map<std::uint64_t, time_point> versions;
     std::optional<time_point> evacuated_at;
+    /// Time at which the last report of each searcher arrived.
+    std::map<std::string, time_point> reported_at;
+    std::uint64_t bytes_sent = 0; ///< Of the messages to other hosts, encoded
+    std::uint64_t second_bytes_sent = 0;
+
+    [[nodiscard]] bool runs() const { return !frozen && !killed; }
 };
 
 /// Hosts of several zones in a region each, and the store. Every host takes its turn at each step.
@@ -48,6 +63,11 @@
     void run_for(duration time);
     void change_configuration();
     void evacuate(const std::string& zone);
+    /// A searcher reports a change of its state.
+    void report(const std::string& searcher);
+    /// Whether services limit the rate at their cold searchers.
+    void limit_cold_rates();
+    void kill(spread_host& it);
 
     [[nodiscard]] spread_host& host(std::size_t zone, std::size_t n) { return *hosts_[zone][n]; }
     /// Applies `action` to every host.
@@ -57,6 +77,8 @@
     [[nodiscard]] std::optional<duration> time_in_force();
     /// The same for the last evacuation.
     [[nodiscard]] std::optional<duration> time_evacuated();
+    /// Time from the last report of a searcher until it was known to the host; empty if it is not.
+    [[nodiscard]] std::optional<duration> time_reported(const spread_host& it, const std::string& searcher);
     [[nodiscard]] std::uint64_t store_calls();
     [[nodiscard]] time_point now() const { return now_; }
 
@@ -86,6 +108,14 @@
     void answer_polls(spread_host& source);
     void answer_poll(spread_host& source, const held_poll& poll);
     [[nodiscard]] source_state as_source(const spread_host& it) const;
+    void call_second(spread_host& it, spread_host& source, const peer_call& call);
+    void take_second_poll(spread_host& source, spread_host& from, const held_searcher_poll& poll);
+    void answer_second_polls(spread_host& source);
+    void note_reports(spread_host& it, const std::vector<registration>& changes);
+    /// Whether a message that is sent now arrives.
+    [[nodiscard]] static bool passes(const spread_host& from, const spread_host& to) {
+        return !from.mute && !to.deaf && !to.frozen && !to.killed;
+    }
     void take_update(spread_host& it, const peer_call& call, const group_view& view,
                      const replica_update& update);
     void take_routing(spread_host& it, const routing_source& source);
@@ -105,6 +135,8 @@
     std::uint64_t version_ = 2;
     time_point changed_at_{};
     time_point evacuated_at_{};
+    std::map<std::string, time_point> reported_at_;
+    std::uint64_t last_second_poll_ = 0;
 };
 
 } // namespace skylarkseam::testing
--- a/tests/wire/gateway_codec_test.cpp
+++ b/tests/wire/gateway_codec_test.cpp
@@ -58,6 +58,18 @@
     BOOST_TEST_REQUIRE(decoded_request.has_value());
     BOOST_TEST(decoded_request.value().position.sequence == 2U);
     BOOST_TEST(decoded_request.value().position.incarnation == 4U);
+
+    const searchers_request searchers{{"g2", "a", "10.0.0.2:7740"}, {71, 6}, seconds(5)};
+    const auto decoded_searchers = decode_searchers_request(encode(searchers));
+    BOOST_TEST_REQUIRE(decoded_searchers.has_value());
+    BOOST_TEST((decoded_searchers.value().sender == searchers.sender));
+    BOOST_TEST(decoded_searchers.value().position.revision == 71U);
+    BOOST_TEST(decoded_searchers.value().position.incarnation == 6U);
+    BOOST_TEST((decoded_searchers.value().wait == seconds(5)));
+
+    const auto update = decode_replica_update(encode(in.update));
+    BOOST_TEST_REQUIRE(update.has_value());
+    BOOST_TEST((update.value().registrations == in.update.registrations));
     BOOST_TEST((decoded_request.value().wait == milliseconds(1500)));
     BOOST_TEST(decode_group_view(encode(in.view)).has_value());
 }
@@ -76,6 +88,8 @@
         rejected += decode_follow_reply(bytes).has_value() ? 0 : 1;
         (void)decode_follow_request(bytes);
         (void)decode_group_view(bytes);
+        (void)decode_searchers_request(bytes);
+        (void)decode_replica_update(bytes);
     }
     BOOST_TEST(rejected > 1000);
 }
