http_server: a request that runs is answered, whatever the sizes of both heads

Cause: the heads of a request and of its answer share a connection's memory, and the library closes the connection where the answer's head finds no room.

Change: a request that leaves under 1 KB is refused with 431 before it runs; an answer whose head does not fit becomes 502.

--- a/src/skylarkseam/shell/http_exchange.cpp
+++ b/src/skylarkseam/shell/http_exchange.cpp
@@ -9,6 +9,13 @@
 namespace {
 
 constexpr int status_unavailable = 503;
+constexpr int status_bad_gateway = 502;
+/// Memory of a connection that the library spends on each field and cookie beside their bytes.
+constexpr std::size_t field_overhead_bytes = 64;
+constexpr std::size_t library_overhead_bytes = 256; ///< of a connection's memory, for itself
+/// The lines of an answer's head that the library writes itself.
+constexpr std::size_t library_head_bytes = 256;
+constexpr std::size_t field_line_bytes = 4;  ///< the colon, a blank and the end of the line
 constexpr const char* retry_after_s = "0.5"; ///< a few requests' time; fractions are understood
 
 MHD_Result collect_header(void* user, MHD_ValueKind, const char* key, const char* value) {
@@ -44,8 +51,36 @@
     return out;
 }
 
+std::string find_value(const std::vector<http_header>& list, const std::string& name) {
+    for (const auto& it : list) {
+        if (it.name == name) {
+            return it.value;
+        }
+    }
+    return {};
+}
+
 } // namespace
 
+std::string incoming_request::header(const std::string& name) const {
+    return find_value(headers, name);
+}
+
+std::string incoming_request::argument(const std::string& name) const {
+    return find_value(arguments, name);
+}
+
+std::vector<std::string> incoming_request::segments() const {
+    std::vector<std::string> parts;
+    std::size_t begin = 1;
+    while (begin < path.size()) {
+        const auto end = std::min(path.find('/', begin), path.size());
+        parts.push_back(percent_decoded(path.substr(begin, end - begin)));
+        begin = end + 1;
+    }
+    return parts;
+}
+
 int socket_of(const http_exchange& it) {
     return MHD_get_connection_info(it.connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
 }
@@ -55,6 +90,32 @@
     it.request.arguments = arguments_of(it.request.target);
 }
 
+std::size_t answer_head_room_of(const http_exchange& it, std::size_t connection_memory) {
+    const auto* const info = MHD_get_connection_info(it.connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    const auto cookies = MHD_get_connection_values(it.connection, MHD_COOKIE_KIND, nullptr, nullptr);
+    const auto fields = it.request.headers.size() + static_cast<std::size_t>(std::max(0, cookies));
+    const auto cookie_bytes = cookies > 0 ? it.request.header("cookie").size() : 0;
+    const auto used =
+        library_overhead_bytes + info->header_size + cookie_bytes + fields * field_overhead_bytes;
+    return connection_memory - std::min(used, connection_memory);
+}
+
+std::size_t head_size_of(const outgoing_response& response) {
+    std::size_t n = library_head_bytes + response.content_type.size();
+    for (const auto& it : response.headers) {
+        n += it.name.size() + it.value.size() + field_line_bytes;
+    }
+    return n;
+}
+
+outgoing_response head_too_large_answer() {
+    outgoing_response response;
+    response.status = status_bad_gateway;
+    response.body =
+        R"({"error":"bad_gateway","ran":"unknown","detail":"the head of the answer is too large"})";
+    return response;
+}
+
 void keep_arguments_from_library(const char* uri) {
     const auto* const mark = std::strchr(uri, '?');
     if (mark != nullptr && mark[1] != '\0') {
--- a/src/skylarkseam/shell/http_exchange.hpp
+++ b/src/skylarkseam/shell/http_exchange.hpp
@@ -17,6 +17,8 @@
     std::optional<outgoing_response> response;
     time_point began{};   ///< its first line was read
     std::size_t held = 0; ///< bytes of its body and of its answer's
+    /// Memory of the connection that its head has left for the answer's head.
+    std::size_t answer_head_room = 0;
     bool refused = false; ///< answered with an error before the handler saw it
     bool handed_over = false;
     bool suspended = false;
@@ -30,6 +32,12 @@
 /// Fills in the headers, their names in lower case, and the arguments of the query string.
 void collect_fields(http_exchange& it);
 
+/// What a request's head leaves of the connection's memory, for the head of its answer.
+[[nodiscard]] std::size_t answer_head_room_of(const http_exchange& it, std::size_t connection_memory);
+
+/// The memory that the head of a response takes.
+[[nodiscard]] std::size_t head_size_of(const outgoing_response& response);
+
 /// Ends the query string of a request, which has been copied, before the library reads it: the library spends
 /// 56 bytes of the connection's memory on each argument, and where they don't suffice it drops the request
 /// and the connection without an answer and without a call of the completion handler. \param uri  what the
@@ -38,6 +46,13 @@
 
 [[nodiscard]] std::string percent_decoded(std::string text);
 
+/// Least memory that a request must leave for the head of its answer, else it is refused. Each error of the
+/// server's own fits into it.
+constexpr std::size_t min_answer_head_room = 1024;
+
+/// The answer to a request that has run or may have, and whose answer has a head that does not fit.
+[[nodiscard]] outgoing_response head_too_large_answer();
+
 /// An error of the server's own; the request has not run. 503 names a time to come back.
 [[nodiscard]] outgoing_response refusal(int status, const std::string& kind, const std::string& detail);
 
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -1,4 +1,5 @@
 #include <skylarkseam/shell/http_exchange.hpp>
+#include <skylarkseam/shell/logging.hpp>
 #include <skylarkseam/shell/socket_address.hpp>
 
 #include <algorithm>
@@ -21,36 +22,8 @@
 constexpr std::string_view header_timeout_answer =
     "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-std::string find_value(const std::vector<http_header>& list, const std::string& name) {
-    for (const auto& it : list) {
-        if (it.name == name) {
-            return it.value;
-        }
-    }
-    return {};
-}
-
 } // namespace
 
-std::string incoming_request::header(const std::string& name) const {
-    return find_value(headers, name);
-}
-
-std::string incoming_request::argument(const std::string& name) const {
-    return find_value(arguments, name);
-}
-
-std::vector<std::string> incoming_request::segments() const {
-    std::vector<std::string> parts;
-    std::size_t begin = 1;
-    while (begin < path.size()) {
-        const auto end = std::min(path.find('/', begin), path.size());
-        parts.push_back(percent_decoded(path.substr(begin, end - begin)));
-        begin = end + 1;
-    }
-    return parts;
-}
-
 struct http_server::impl {
     event_loop& loop;
     http_limits limits;
@@ -164,8 +137,14 @@
         it->request.method = method;
         reading.erase(it);
         collect_fields(*it);
+        it->answer_head_room = answer_head_room_of(*it, limits.header_bytes);
         it->request.round_trip = round_trip_of(socket_of(*it));
         set_idle_timeout(it->connection);
+        if (it->answer_head_room < min_answer_head_room) {
+            refuse(it, refusal(431, "header_fields_too_large",
+                               "the request's head leaves no room for the head of an answer"));
+            return;
+        }
         if (exchanges.size() >= limits.open_requests) {
             refuse(it, refusal(503, "overloaded", "too many open requests"));
             return;
@@ -305,6 +284,13 @@
     }
 
     static MHD_Result queue(const std::shared_ptr<http_exchange>& it, MHD_Connection* connection) {
+        if (!it->refused && head_size_of(*it->response) > it->answer_head_room) {
+            log_event(log_level::warning, "answer_head_too_large",
+                      {{"bytes", head_size_of(*it->response)},
+                       {"room", it->answer_head_room},
+                       {"status", static_cast<std::uint64_t>(it->response->status)}});
+            it->response = head_too_large_answer();
+        }
         auto& response = *it->response;
         auto* const body = MHD_create_response_from_buffer(response.body.size(), response.body.data(),
                                                            MHD_RESPMEM_MUST_COPY);
--- a/tests/shell/http_endings_test.cpp
+++ b/tests/shell/http_endings_test.cpp
@@ -242,6 +242,46 @@
     BOOST_TEST(run_until([this] { return server.open_requests() == 0; }));
 }
 
+// Guards against a request that runs and whose answer then finds no room: its connection was closed.
+BOOST_AUTO_TEST_CASE(is_answered_if_it_has_run_whatever_the_sizes_of_both_heads) {
+    int runs = 0;
+    std::size_t answer_field = 0;
+    http_server other{loop, limits(), [&](const incoming_request&, const respond& answer) {
+                          ++runs;
+                          answer({200, "done", "text/plain", {{"X-A", std::string(answer_field, 'a')}}});
+                      }};
+    const auto other_address = other.listen("127.0.0.1:0");
+    constexpr int turns = 14;
+    int refused = 0;
+    int too_large = 0;
+    for (const std::size_t length : {0U, 30U, 100U}) {
+        const auto field = "X-A: " + std::string(length, 'b') + "\r\n";
+        for (std::size_t n = 10; n < 480 && n * field.size() < 16'000; n += n < 270 ? 50 : 7) {
+            for (const auto* const method : {"GET", "POST"}) {
+                for (const std::size_t answered : {0U, 600U, 9'000U, 31'000U}) {
+                    answer_field = answered;
+                    runs = 0;
+                    const std::string body = *method == 'P' ? "0123456789" : "";
+                    raw_client client(other_address, std::string(method) +
+                                                         " /x HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                                                         std::to_string(body.size()) + "\r\n" +
+                                                         repeated(n, field) + "\r\n" + body);
+                    run(client, turns);
+                    const auto status = client.status();
+                    BOOST_TEST((runs == 1 ? status == 200 || status == 502 : status == 431),
+                               method << " with " << n << " fields of " << field.size()
+                                      << " bytes, answer's field " << answered << ": " << runs
+                                      << " runs, status " << status);
+                    refused += status == 431 ? 1 : 0;
+                    too_large += status == 502 ? 1 : 0;
+                }
+            }
+        }
+    }
+    BOOST_TEST(refused > 0);
+    BOOST_TEST(too_large > 0);
+}
+
 BOOST_AUTO_TEST_CASE(has_all_its_arguments_decoded) {
     raw_client client(address, get("/x?a=1&&b=%26+c&d&=e&f=g=h&%41=" + repeated(400, "&z=1")));
     run(client, answer_turns);
