http_server: begin each request once

Cause: a request whose method is empty counted as one that begins, and the method is moved to the handler. As its answer was written it began again, the limits were checked a second time, and the refusal replaced the answer.

--- a/src/skylarkseam/shell/http_exchange.hpp
+++ b/src/skylarkseam/shell/http_exchange.hpp
@@ -19,6 +19,7 @@
     std::size_t held = 0; ///< bytes of its body and of its answer's
     /// Memory of the connection that its head has left for the answer's head.
     std::size_t answer_head_room = 0;
+    bool begun = false;   ///< its head is complete; the limits are checked then, and not again
     bool refused = false; ///< answered with an error before the handler saw it
     bool handed_over = false;
     bool suspended = false;
--- a/src/skylarkseam/shell/http_server.cpp
+++ b/src/skylarkseam/shell/http_server.cpp
@@ -91,7 +91,8 @@
                                 const char*, const char* data, std::size_t* size, void**) {
         auto* const self = static_cast<impl*>(user);
         const auto it = self->current.at(connection);
-        if (it->request.method.empty()) {
+        if (!it->begun) {
+            it->begun = true;
             self->begin(it, method);
             return MHD_YES;
         }
--- a/tests/shell/http_test.cpp
+++ b/tests/shell/http_test.cpp
@@ -179,6 +179,45 @@
     waiting[1]({200, "", "", {}});
 }
 
+// Guards against a refusal, which promises that nothing has run, in place of the answer of a request that has
+// run.
+BOOST_AUTO_TEST_CASE(an_answer_is_given_although_the_limit_of_open_requests_is_reached) {
+    std::map<std::string, int> got;
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        client.send(get_held(name), [&got, name](const http_response& it) { got[name] = it.status; });
+    }
+    BOOST_REQUIRE(run_until([&] { return held.size() == limits.open_requests; }));
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        held[name]({200, "done", "text/plain", {}});
+    }
+    BOOST_REQUIRE(run_until([&] { return got.size() == limits.open_requests; }));
+    for (const auto& [name, status] : got) {
+        BOOST_TEST(status == 200, name << " got " << status);
+    }
+    BOOST_TEST(server.rejected() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_is_given_although_the_limit_of_held_bytes_is_reached) {
+    http_limits small = limits;
+    small.held_bytes = 100;
+    std::vector<respond> waiting;
+    http_server other{loop, small,
+                      [&](const incoming_request&, const respond& answer) { waiting.push_back(answer); }};
+    const auto other_address = other.listen("127.0.0.1:0");
+    std::vector<int> statuses;
+    for (int n = 0; n < 2; ++n) {
+        http_request request;
+        request.url = "http://" + other_address + "/x";
+        client.send(std::move(request), [&](const http_response& it) { statuses.push_back(it.status); });
+    }
+    BOOST_REQUIRE(run_until([&] { return waiting.size() == 2; }));
+    for (const auto& it : waiting) {
+        it({200, std::string(2 * small.held_bytes, 'a'), "text/plain", {}});
+    }
+    BOOST_REQUIRE(run_until([&] { return statuses.size() == 2; }));
+    BOOST_TEST(statuses == (std::vector<int>{200, 200}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(a_client_that_sends_its_headers_slowly_is_told_that_nothing_has_run) {
     server.set_client_limits(64, milliseconds(100), seconds(60));
     const int fd = start_connection(address);
