peer_group: the next gateway takes the place of a second source that has ended

After the second source of a zone had ended, the zone had none until the group forgot it (8 s), so that a silence of the first gateway hid the reports of searchers again.

--- a/src/skylarkseam/gateway/peer_group.cpp
+++ b/src/skylarkseam/gateway/peer_group.cpp
@@ -117,7 +117,7 @@
     return std::none_of(members_.begin(), members_.end(), [&](const auto& it) {
         const auto& who = it.second.who;
         return who.zone == self_.zone && who.name != first->who.name && who.name < self_.name &&
-               now >= it.second.backoff_until;
+               it.second.may_be_second_source(now);
     });
 }
 
@@ -127,8 +127,8 @@
         return nullptr;
     }
     for (const auto& [name, it] : members_) {
-        if (it.who.zone == self_.zone && &it != first && now >= it.backoff_until) {
-            return now >= it.second_backoff_until ? &it : nullptr;
+        if (it.who.zone == self_.zone && &it != first && it.may_be_second_source(now)) {
+            return &it;
         }
     }
     return nullptr;
--- a/src/skylarkseam/gateway/peer_group.hpp
+++ b/src/skylarkseam/gateway/peer_group.hpp
@@ -141,6 +141,10 @@
         time_point second_backoff_until{}; ///< The same for calls to it as the second source
         bool stale = false;           ///< Whether it is not followed because it answered without current data
         time_point members_sent_at{}; ///< Time at which this gateway last sent it the list of members
+
+        [[nodiscard]] bool may_be_second_source(time_point now) const {
+            return now >= backoff_until && now >= second_backoff_until;
+        }
     };
 
     /// Whether every earlier gateway of the zone has failed to answer.
--- a/tests/gateway/second_source_test.cpp
+++ b/tests/gateway/second_source_test.cpp
@@ -72,11 +72,17 @@
         world.run_for(settle_time);
     }
 
-    /// Longest time until a searcher's report is known to the hosts other than `except`.
-    duration longest_time(const spread_host* except) {
-        const auto searcher = "i-" + std::to_string(++reported);
+    /// A searcher reports, and there is time for its report to be known.
+    std::string report() {
+        auto searcher = "i-" + std::to_string(++reported);
         world.report(searcher);
         world.run_for(4 * report_bound);
+        return searcher;
+    }
+
+    /// Longest time until a searcher's report is known to the hosts other than `except`.
+    duration longest_time(const spread_host* except) {
+        const auto searcher = report();
         duration longest{};
         world.for_each([&](const spread_host& it) {
             if (&it != except) {
@@ -142,6 +148,24 @@
     check_each_silence(1, 3);
 }
 
+// The gateway after it takes its place, before the group has forgotten it.
+BOOST_AUTO_TEST_CASE(is_known_at_once_after_the_second_source_has_ended) {
+    for (std::uint32_t phase = 0; phase < phases; ++phase) {
+        reports it;
+        auto& first = it.world.host(0, 0);
+        auto& second = it.world.host(0, 1);
+        it.world.run_for(phase * phase_step);
+        it.world.kill(second);
+        it.world.run_for(milliseconds(6200)); // Its followers' polls have failed.
+        first.frozen = true;
+        const auto searcher = it.report();
+        for (const std::size_t n : {2U, 3U}) {
+            const auto time = it.world.time_reported(it.world.host(0, n), searcher);
+            BOOST_TEST(to_ms(time.value_or(duration::max())) <= to_ms(report_bound), "phase " << phase);
+        }
+    }
+}
+
 // One host after the other is silent, each after the one before has returned.
 BOOST_AUTO_TEST_CASE(is_known_at_once_while_hosts_are_silent_in_turn) {
     constexpr std::uint32_t seeds = 20;
