--- a/src/skylarkseam/shell/http_exchange.hpp
+++ b/src/skylarkseam/shell/http_exchange.hpp
@@ -40,9 +40,10 @@
 [[nodiscard]] std::size_t head_size_of(const outgoing_response& response);
 
 /// Ends the query string of a request, which has been copied, before the library reads it: the library spends
-/// 56 bytes of the connection's memory on each argument, and where they don't suffice it drops the request
-/// and the connection without an answer and without a call of the completion handler. \param uri  what the
-/// library passes to the URI callback
+/// about 56 bytes of the connection's memory on each argument, and where they don't suffice it drops the
+/// request and the connection without an answer and without a call of the completion handler.
+///
+/// \param uri  what the library passes to the URI callback
 void keep_arguments_from_library(const char* uri);
 
 [[nodiscard]] std::string percent_decoded(std::string text);
