--- a/tests/shell/peer_endings_test.cpp
+++ b/tests/shell/peer_endings_test.cpp
@@ -76,6 +76,7 @@
 private:
     static std::vector<nghttp2_nv> to_list(const std::vector<std::pair<std::string, std::string>>& headers) {
         std::vector<nghttp2_nv> out;
+        out.reserve(headers.size());
         const auto bytes_of = [](const std::string& text) {
             return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
         };
