--- a/tests/shell/relay_runner_test.cpp
+++ b/tests/shell/relay_runner_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <tests/shell/loop_fixture.hpp>
 
 using namespace skylarkseam;
@@ -97,6 +98,20 @@
         return response;
     }
 
+    /// Whether the other gateway uses its searcher again, after a fault that has ended.
+    bool is_served_again() {
+        constexpr int most_tries = 30;
+        for (int n = 0; n < most_tries; ++n) {
+            if (fetch("again").status == 201) {
+                return true;
+            }
+            for (const auto until = loop.now() + milliseconds(150); loop.now() < until;) {
+                loop.run_once(milliseconds(10));
+            }
+        }
+        return false;
+    }
+
     void lose_searchers() {
         // Requests that cannot be sent show it.
         for (int n = 0; n < 20 && !cut.front.decisions().reach().cut_off(); ++n) {
@@ -190,6 +205,25 @@
     BOOST_TEST(run_until([&] { return sound.front.open_requests() == 0; }));
 }
 
+BOOST_AUTO_TEST_CASE(passes_no_answer_back_whose_status_is_none) {
+    lose_searchers();
+    const auto good = answer;
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "+20"}) {
+        answer = good;
+        BOOST_REQUIRE(is_served_again());
+        runs.clear();
+        answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\nX-Proof: p\r\n\r\nstray";
+        const auto response = fetch("s" + status);
+        BOOST_TEST(response.status == 502, status << " got " << response.status);
+        BOOST_TEST(response.body.find("stray") == std::string::npos, status);
+        BOOST_TEST(response.header("x-proof") == "", status);
+        // Liveness requests of the other gateway arrive as well.
+        const auto arrived = std::count_if(runs.begin(), runs.end(),
+                                           [](const auto& it) { return it.starts_with("POST /x?y=%2f"); });
+        BOOST_TEST(arrived == 1, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(tells_that_the_outcome_is_unknown_if_the_other_one_ends) {
     lose_searchers();
     answer.clear();
