Count an answer to a node only once its head has been read whole

No caller reported it: libcurl calls a transfer successful if the connection ends in order behind the status line, so that a 503, 409 or 410 without the rest of its head counted as a word of the searcher, and a 200 as an answer without a body. The client now asks the reader of the head whether its end has come.

The framing of chunks is complete with the zero-sized chunk, as RFC 9112 has it.

--- a/src/skylarkseam/shell/answer_head.hpp
+++ b/src/skylarkseam/shell/answer_head.hpp
@@ -18,6 +18,9 @@
     /// fault of the line, empty if it has none.
     [[nodiscard]] std::string take_line(std::string_view line, std::vector<http_header>& headers);
 
+    /// Whether the head of a final answer has been read to its end.
+    [[nodiscard]] bool complete() const { return state_ == state::complete; }
+
 private:
     enum class state { none, open, interim, complete };
 
--- a/src/skylarkseam/shell/http_client.cpp
+++ b/src/skylarkseam/shell/http_client.cpp
@@ -178,10 +178,15 @@
     }
 
     static void describe(curl_call& call, CURLcode code) {
+        // libcurl takes a connection that ends within a head for the end of an answer without a body.
+        const bool cut = code == CURLE_OK && !call.head.complete();
+        if (cut) {
+            call.fault = "the connection was closed within the head of the answer";
+        }
         long bytes = 0;
         curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &bytes);
         call.response.sent = bytes > 0;
-        if (code == CURLE_OK) {
+        if (code == CURLE_OK && !cut) {
             long status = 0;
             curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
             call.response.status = static_cast<int>(status);
@@ -190,7 +195,7 @@
         call.response.body.clear();
         call.response.detail = call.fault.empty() ? curl_easy_strerror(code) : call.fault;
         call.response.timed_out = code == CURLE_OPERATION_TIMEDOUT;
-        call.response.reset = is_reset(code);
+        call.response.reset = cut || is_reset(code);
     }
 
     void release(curl_call& call) {
--- a/tests/shell/answer_endings.hpp
+++ b/tests/shell/answer_endings.hpp
@@ -129,6 +129,9 @@
     std::string head;
     std::string rest;
     bool has_end; ///< The bytes say where it ends.
+    /// Bytes behind the zero-sized chunk. RFC 9112, section 8: an answer in chunks is incomplete if that
+    /// chunk has not been received.
+    std::size_t after_last_chunk = 0;
 
     [[nodiscard]] std::string bytes() const { return head + rest; }
 };
@@ -136,7 +139,7 @@
 inline const std::vector<framed_answer> framed_answers{
     {"a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 32\r\n\r\n", ending_body, true},
     {"chunks", "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
-     "10\r\n" + ending_body.substr(0, 16) + "\r\n10\r\n" + ending_body.substr(16) + "\r\n0\r\n\r\n", true},
+     "10\r\n" + ending_body.substr(0, 16) + "\r\n10\r\n" + ending_body.substr(16) + "\r\n0\r\n\r\n", true, 2},
     {"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", ending_body, false},
 };
 
@@ -154,7 +157,12 @@
                (long_request ? ", request written in part" : ", request written whole");
     }
 
-    /// Body that may be delivered; nothing if none may.
+    /// Whether all of the body has come and only the end of the framing is missing.
+    [[nodiscard]] bool lacks_only_the_last_line() const {
+        return cut < answer->bytes().size() && cut + answer->after_last_chunk >= answer->bytes().size();
+    }
+
+    /// Body that is to be delivered; nothing if none may be.
     [[nodiscard]] std::optional<std::string> deliverable() const {
         if (answer->has_end) {
             return cut == answer->bytes().size() ? std::optional(ending_body) : std::nullopt;
