Promise "not run" only for requests that have not run

The gateway kept each failure as the answer, whatever its status.

What is known of a request's execution, and who says it, is now one value that goes with each answer. The status of an answer is checked against it in one place; an unmarked 408, 421, 429 or 503 is the searcher's failure, so that a request that may run again goes to another searcher and any other is answered 502.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <skylarkseam/core/time.hpp>
+#include <skylarkseam/gateway/execution.hpp>
 #include <skylarkseam/gateway/known_searcher.hpp>
 #include <skylarkseam/gateway/relay_peers.hpp>
 
@@ -41,6 +42,9 @@
 
 [[nodiscard]] std::string_view name_of(attempt_outcome outcome);
 
+/// What the outcome says of the attempt's request at its searcher.
+[[nodiscard]] execution execution_of(attempt_outcome outcome);
+
 struct header_field {
     std::string name;
     std::string value;
@@ -144,6 +148,16 @@
 using any_answer = std::variant<gateway_answer::forwarded, gateway_answer::merged, gateway_answer::relayed,
                                 gateway_answer::refused>;
 
+/// Answer to a request, with what is known of the request's execution.
+struct gateway_reply {
+    any_answer value;
+    execution_report report{};
+};
+
+/// Returns the reply; in its place a failure of the gateway's own, if its status would promise to the client
+/// that a request has not run which may have run.
+[[nodiscard]] gateway_reply with_true_promise(gateway_reply reply);
+
 enum class relay_outcome {
     answered,
     declined, ///< The other host does not take requests of others now; the request has not run.
@@ -272,6 +286,7 @@
     request_token token = 0;
     any_answer value;
     request_summary summary;
+    execution_report report{}; ///< Of the request. A status that promises "not run" goes with `not_run` only.
 };
 /// Reports that a part of a request was sent to another searcher.
 struct report_retry {
--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -245,13 +245,14 @@
 
     /// Answers the request if it is complete or its time is up.
     void finish_if_ready(const run_ptr& run, time_point now, output& out);
-    void finish(const run_ptr& run, any_answer value, time_point now, output& out);
+    void finish(const run_ptr& run, gateway_reply reply, time_point now, output& out);
     /// Delay after which a refused client is asked to return, before jitter is applied.
     [[nodiscard]] static duration retry_after_base(refusal_reason reason);
     /// Time by which a request has to be answered.
     [[nodiscard]] static time_point deadline_of(const gateway_request& request, const gateway_route& route,
                                                 time_point now);
-    [[nodiscard]] any_answer failure_of(const request_run& run, refusal_reason reason);
+    /// The answer to a request that has failed, and what is known of its execution.
+    [[nodiscard]] gateway_reply failure_of(const request_run& run, refusal_reason reason);
     /// Ends the open attempts of a request that is over.
     /// \param keep_as_probes  whether attempts at faulty searchers stay open, as probes; one that waits for
     /// its connection then still runs
--- a/src/skylarkseam/gateway/gateway_answers.cpp
+++ b/src/skylarkseam/gateway/gateway_answers.cpp
@@ -22,13 +22,30 @@
 /// Short, because another host can answer the retry.
 constexpr duration other_host_retry_after = milliseconds(50);
 
+constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 
+constexpr execution_report run_at_searcher{execution::may_have_run, execution_source::searcher};
+
 } // namespace
 
+gateway_reply with_true_promise(gateway_reply reply) {
+    struct status_of {
+        int operator()(const gateway_answer::forwarded& it) const { return it.response.status; }
+        int operator()(const gateway_answer::merged&) const { return status_ok; }
+        int operator()(const gateway_answer::relayed& it) const { return it.status; }
+        int operator()(const gateway_answer::refused& it) const { return it.status; }
+    };
+    if (!reply.report.may_have_run() || !promises_not_run(std::visit(status_of{}, reply.value))) {
+        return reply;
+    }
+    return {gateway_answer::refused{refusal_reason::broken, status_bad_gateway, duration::zero()},
+            reply.report};
+}
+
 duration gateway::retry_after_base(refusal_reason reason) {
     switch (reason) {
     case refusal_reason::overloaded:
@@ -56,6 +73,7 @@
     answer.summary.fingerprint = request.fingerprint;
     answer.summary.config_version = table_->version;
     answer.summary.detail = std::string(name_of(reason));
+    answer.report = {execution::not_run, execution_source::gateway};
     ++counters_.refused;
     out.emplace_back(std::move(answer));
 }
@@ -92,7 +110,8 @@
         return;
     }
     if (run->shards() == nullptr) {
-        finish(run, gateway_answer::forwarded{std::move(run->parts.front().response)}, now, out);
+        finish(run, {gateway_answer::forwarded{std::move(run->parts.front().response)}, run_at_searcher}, now,
+               out);
         return;
     }
     gateway_answer::merged merged;
@@ -105,27 +124,30 @@
     }
     merged.missing = static_cast<std::uint32_t>(run->parts.size() - answered);
     merged.body = greatest_records(bodies, run->shards()->result_limit);
-    finish(run, std::move(merged), now, out);
+    finish(run, {std::move(merged), run_at_searcher}, now, out);
 }
 
-any_answer gateway::failure_of(const request_run& run, refusal_reason reason) {
+gateway_reply gateway::failure_of(const request_run& run, refusal_reason reason) {
     const auto& first = run.parts.front();
     if (run.shards() == nullptr && first.has_response) {
-        return gateway_answer::forwarded{first.response};
+        return {gateway_answer::forwarded{first.response}, run_at_searcher};
     }
     if (run.may_have_run()) {
         const bool timed_out = reason == refusal_reason::deadline || reason == refusal_reason::draining;
-        return gateway_answer::refused{reason, timed_out ? status_timeout : status_bad_gateway,
-                                       duration::zero()};
+        return {gateway_answer::refused{reason, timed_out ? status_timeout : status_bad_gateway,
+                                        duration::zero()},
+                {execution::may_have_run, execution_source::gateway}};
     }
     const auto delay = std::max(retry_after_base(reason), std::min(run.expected_wait, max_wait_retry_after));
     // The jitter never brings a client back before the searchers take requests again.
-    return gateway_answer::refused{reason, status_unavailable,
-                                   std::max(jittered(delay), run.searchers_back_in + jittered(delay) / 2)};
+    const auto retry_after = std::max(jittered(delay), run.searchers_back_in + jittered(delay) / 2);
+    return {gateway_answer::refused{reason, status_unavailable, retry_after},
+            {execution::not_run, execution_source::gateway}};
 }
 
-void gateway::finish(const run_ptr& run, any_answer value, time_point now, output& out) {
-    if (const auto* const refused = std::get_if<gateway_answer::refused>(&value)) {
+void gateway::finish(const run_ptr& run, gateway_reply reply, time_point now, output& out) {
+    reply = with_true_promise(std::move(reply));
+    if (const auto* const refused = std::get_if<gateway_answer::refused>(&reply.value)) {
         ++counters_.refused;
         if (refused->reason == refusal_reason::shards_down ||
             refused->reason == refusal_reason::no_searcher) {
@@ -136,12 +158,11 @@
     } else {
         ++counters_.partial;
     }
-    const auto* const refused = std::get_if<gateway_answer::refused>(&value);
-    const bool promised_not_run = refused != nullptr && refused->status == status_unavailable;
     runs_.erase(run->token);
-    out.emplace_back(gateway_action::answer{run->token, std::move(value), run->summary(now)});
+    out.emplace_back(
+        gateway_action::answer{run->token, std::move(reply.value), run->summary(now), reply.report});
     // An attempt that still waits for its connection would run after the promise if it were kept as a probe.
-    end_attempts_of_run(*run, !promised_not_run, now, out);
+    end_attempts_of_run(*run, reply.report.may_have_run(), now, out);
 }
 
 void gateway::end_open_requests(time_point now, output& out) {
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -41,9 +41,11 @@
 }
 
 /// Whether the response is the searcher's failure. A response that says it succeeded and cannot be used is
-/// one, too: otherwise a searcher that answers so at once would seem to be the fastest.
+/// one, too: otherwise a searcher that answers so at once would seem to be the fastest. So is a status that
+/// promises that the request has not run, in a response that does not state it.
 bool is_failure(const searcher_response& it) {
-    return it.status >= status_server_error || (it.status < status_redirect && !is_success(it));
+    return it.status >= status_server_error || promises_not_run(it.status) ||
+           (it.status < status_redirect && !is_success(it));
 }
 
 } // namespace
@@ -212,13 +214,13 @@
     }
     run->last_fault = std::string(name_of(result.outcome)) + " " + result.detail;
     const bool idempotent = run->route->repeat == repeatability::idempotent;
+    it.may_have_run = it.may_have_run || execution_of(result.outcome) == execution::may_have_run;
     switch (result.outcome) {
     case attempt_outcome::answered: {
         run->last_fault += "status " + std::to_string(result.response.status);
-        it.may_have_run = true;
-        const bool failed = result.response.status >= status_redirect;
-        const bool repeat = idempotent && (!failed || result.response.status >= status_server_error);
-        if (failed) {
+        const bool repeat = idempotent && is_failure(result.response);
+        // The client would take such a status for a promise, and the request has run.
+        if (result.response.status >= status_redirect && !promises_not_run(result.response.status)) {
             it.response = std::move(result.response);
             it.has_response = true;
         }
@@ -246,7 +248,6 @@
         retry_or_fail(run, part, refusal_reason::all_refused, now, out);
         return;
     case attempt_outcome::broken:
-        it.may_have_run = true;
         if (!idempotent) {
             it.state = part_state::failed;
             it.reason = refusal_reason::broken;
--- a/tests/gateway/gateway_world.cpp
+++ b/tests/gateway/gateway_world.cpp
@@ -241,7 +241,8 @@
                                  self.now - request.when,
                                  self.now,
                                  {},
-                                 it.summary.detail};
+                                 it.summary.detail,
+                                 it.report};
             if (const auto* const refused = std::get_if<gateway_answer::refused>(&it.value)) {
                 result.status = refused->status;
                 result.retry_after = refused->retry_after;
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -20,8 +20,9 @@
 struct searcher_behaviour {
     double slowdown = 1.0;      ///< Factor on the processing time of each request.
     double refused_share = 0.0; ///< Share of the requests that the searcher refuses without running them.
-    double failed_share = 0.0;  ///< Share of the requests that the searcher answers with status 500.
-    double lost_share = 0.0;    ///< Share of the requests that the searcher runs and whose answer is lost.
+    double failed_share = 0.0;  ///< Share of the requests that the searcher runs and answers as failed.
+    int failed_status = 500; ///< Status of these answers, none of which states that the request has not run.
+    double lost_share = 0.0; ///< Share of the requests that the searcher runs and whose answer is lost.
     /// If set, the searcher answers each request at once, without running it to its end, and so.
     std::optional<attempt_result> instant_answer{};
     bool unreachable = false; ///< True if all requests to the searcher and all its answers are lost.
@@ -77,6 +78,7 @@
     time_point answered{};
     duration retry_after{};
     std::string fault; ///< Last fault of an attempt, or the reason of a refusal.
+    execution_report report{};
 };
 
 /// What becomes of a host's connections to searchers.
--- a/tests/gateway/model_searchers.cpp
+++ b/tests/gateway/model_searchers.cpp
@@ -132,7 +132,7 @@
         result.outcome = attempt_outcome::answered;
         result.searcher_leaving = it.behaviour.leaving;
         result.rate_limit = it.behaviour.rate_limit;
-        result.response.status = uniform() < it.behaviour.failed_share ? 500 : 200;
+        result.response.status = uniform() < it.behaviour.failed_share ? it.behaviour.failed_status : 200;
         result.response.proof = it.record.id + ":" + id;
         result.response.body = std::string(16, 'r');
         if (uniform() < it.behaviour.lost_share) {
