Take a 421 for "not run" only if it says so

No caller reported it. Each 421 counted as the word of another searcher at the address, so that an unsafe request went to a second searcher although a faulty one may have run it and answered 421. Another searcher names itself in its 421, as the platform's protocol shows, or sends the header for "not run"; a 421 that does neither is now a failure after which the request may have run.

The new test of each status with and without header and name failed 3 checks before and none after.

--- a/src/skylarkseam/shell/request_forwarding.cpp
+++ b/src/skylarkseam/shell/request_forwarding.cpp
@@ -102,6 +102,18 @@
     return value;
 }
 
+/// Whether a response states that the request has not run: by the header for it, or since a searcher answers
+/// that is not the one for which the request is meant.
+bool states_not_run(const upstream_response& response, const std::string& searcher,
+                    const http_dialect& names) {
+    if (response.header(names.not_run) != nullptr) {
+        return true;
+    }
+    const auto* const answering = response.header(names.searcher_id);
+    return response.status == status_misdirected && answering != nullptr && !answering->empty() &&
+           *answering != searcher;
+}
+
 /// Seconds with three decimals, as Retry-After takes them here.
 std::string to_seconds(duration value) {
     std::array<char, 32> buf{};
@@ -190,6 +202,7 @@
     upstream_request out;
     out.is_head = request.method == "HEAD";
     out.echo_header = names.request_id;
+    out.searcher = searcher;
     const auto connection = request.header("connection");
     bool had_body = !request.body.empty();
     out.bytes.reserve(request.target.size() + request.body.size() + 512);
@@ -226,15 +239,18 @@
         return out;
     }
     auto& response = *result.response;
+    const bool not_run = states_not_run(response, result.searcher, names);
     if (response.status == status_misdirected) {
-        out.outcome = attempt_outcome::replaced;
+        // It says nothing more: it may come from another searcher.
+        out.outcome = not_run ? attempt_outcome::replaced : attempt_outcome::answered;
+        out.response.status = response.status;
         return out;
     }
     const auto* const leaving = response.header(names.leaving);
     out.searcher_leaving = leaving != nullptr && *leaving == "1";
     out.back_off = parse_back_off(response);
     out.rate_limit = parse_rate_limit(response, names);
-    if (response.header(names.not_run) != nullptr) {
+    if (not_run) {
         out.outcome = attempt_outcome::refused;
         out.detail = "status " + std::to_string(response.status);
         return out;
--- a/src/skylarkseam/shell/upstream_connection.cpp
+++ b/src/skylarkseam/shell/upstream_connection.cpp
@@ -252,6 +252,7 @@
         upstream_result result;
         result.sent = true;
         result.connect_time = connect_time;
+        result.searcher = request.searcher;
         const bool keep = reader.keeps_connection() && written == request.bytes.size();
         auto taken = reader.take();
         const auto* const echoed = taken.header(request.echo_header);
--- a/src/skylarkseam/shell/upstream_connection.hpp
+++ b/src/skylarkseam/shell/upstream_connection.hpp
@@ -18,6 +18,7 @@
     bool is_head = false;    ///< its answer has no body whatever it states
     std::string echo_header; ///< an answer that names another value there belongs to another request
     std::string echo_value;
+    std::string searcher{}; ///< ID of the searcher that the request is meant for
 };
 
 /// Why no whole response came, as far as it says something of the searcher's process.
@@ -33,7 +34,8 @@
     bool sent = false;                         ///< a byte of the request was handed to the connection
     std::optional<duration> connect_time{};    ///< where the connection was opened for this request
     connection_fault fault = connection_fault::other;
-    std::string detail; ///< names the fault where there is no response
+    std::string detail;     ///< names the fault where there is no response
+    std::string searcher{}; ///< of the request
 };
 
 /// Invariants: a request is sent at most once; a connection that had bytes nobody asked for, an answer in
--- a/tests/shell/request_forwarding_test.cpp
+++ b/tests/shell/request_forwarding_test.cpp
@@ -13,12 +13,14 @@
     out.leaving = "x-leaving";
     out.rate_limit = "x-limit";
     out.proof = "x-proof";
+    out.searcher_id = "x-searcher";
     return out;
 }
 
 attempt_result read(int status, std::vector<upstream_header> headers) {
     upstream_result result;
     result.sent = true;
+    result.searcher = "i-1";
     result.response = upstream_response{status, std::move(headers), "body"};
     return to_attempt_result(std::move(result), names());
 }
@@ -45,6 +47,22 @@
     BOOST_TEST(!read(503, {}).back_off.has_value());
 }
 
+// Guards against a request that runs at two searchers, since a faulty one that has run it answers 421.
+BOOST_AUTO_TEST_CASE(states_that_the_request_has_not_run_by_its_header_or_by_the_name_of_another_searcher) {
+    for (const int status : {200, 400, 408, 421, 429, 500, 503}) {
+        const auto marked = read(status, {{"X-Refused", "1"}}).outcome;
+        BOOST_TEST((execution_of(marked) == execution::not_run), status);
+        BOOST_TEST((execution_of(read(status, {}).outcome) == execution::may_have_run), status);
+        const auto own = read(status, {{"X-Searcher", "i-1"}}).outcome;
+        BOOST_TEST((execution_of(own) == execution::may_have_run), status);
+        const auto other = read(status, {{"X-Searcher", "i-2"}}).outcome;
+        BOOST_TEST((execution_of(other) == execution::not_run) == (status == 421), status);
+    }
+    BOOST_TEST((read(421, {{"X-Searcher", "i-2"}}).outcome == attempt_outcome::replaced));
+    BOOST_TEST((read(421, {{"X-Refused", "1"}}).outcome == attempt_outcome::replaced));
+    BOOST_TEST((execution_of(read(421, {{"X-Searcher", ""}}).outcome) == execution::may_have_run));
+}
+
 BOOST_AUTO_TEST_CASE(may_name_an_absurd_time) {
     for (const auto* const it :
          {"-1", "soon", "", "nan", "inf", "1e999", "Wed, 21 Oct 2026 07:28:00 GMT", "3s", "0x10"}) {
