Say with each relayed answer whether its request has run

The message between hosts had a status and no word on the execution.

The other host now appends what it knows, behind the answer in the same frame, which earlier builds do not read. Without it the request may have run: it is not passed on again, and its client gets 502 instead of a promise. A refusal counts as "not run" only if no host before it was lost with the request.

--- a/src/skylarkseam/gateway/gateway.hpp
+++ b/src/skylarkseam/gateway/gateway.hpp
@@ -126,8 +126,8 @@
         std::uint32_t attempts_left = 1; ///< Number of searchers that may still get it
         std::uint32_t lost = 0;          ///< Number of hosts that have not answered
         bool sent_here = false;          ///< Whether a searcher may have got it from this host
-        bool accepted = false;           ///< Whether the last host has accepted it
-        /// Answer of a host that had no room for it.
+        bool accepted = false;           ///< Whether the last host has accepted it and not answered
+        /// Answer of a host that had no room for it and states that it has not run.
         std::optional<gateway_answer::relayed> refusal{};
 
         [[nodiscard]] bool may_have_run() const { return sent_here || accepted || lost > 0; }
@@ -238,7 +238,10 @@
     /// Passes a request on to the next host, or refuses it.
     void relay_on(request_token token, time_point now, output& out);
     void refuse_relay(request_token token, time_point now, output& out);
-    void answer_relay(request_token token, any_answer value, time_point now, output& out);
+    void answer_relay(request_token token, gateway_reply reply, time_point now, output& out);
+    /// Answers with the word of the host that the request was last passed on to.
+    void answer_with_word_of_peer(request_token token, gateway_answer::relayed answer, time_point now,
+                                  output& out);
     void on_relay_accepted(request_token token, time_point now);
     void on_relay_ended(request_token token, relay_result result, time_point now, output& out);
     void on_relay_timer(request_token token, time_point now, output& out);
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -239,23 +239,40 @@
     ++counters_.refused;
     if (it.may_have_run()) {
         const int status = now >= it.deadline ? status_timeout : status_bad_gateway;
-        answer_relay(token, gateway_answer::refused{refusal_reason::cut_off, status, duration::zero()}, now,
-                     out);
+        answer_relay(token,
+                     {gateway_answer::refused{refusal_reason::cut_off, status, duration::zero()},
+                      {execution::may_have_run, execution_source::gateway}},
+                     now, out);
     } else if (it.refusal) {
-        answer_relay(token, std::move(*it.refusal), now, out);
+        answer_with_word_of_peer(token, std::move(*it.refusal), now, out);
     } else {
         const auto delay = jittered(retry_after_base(refusal_reason::cut_off));
-        answer_relay(token, gateway_answer::refused{refusal_reason::cut_off, status_unavailable, delay}, now,
-                     out);
+        answer_relay(token,
+                     {gateway_answer::refused{refusal_reason::cut_off, status_unavailable, delay},
+                      {execution::not_run, execution_source::gateway}},
+                     now, out);
     }
 }
 
-void gateway::answer_relay(request_token token, any_answer value, time_point now, output& out) {
+void gateway::answer_with_word_of_peer(request_token token, gateway_answer::relayed answer, time_point now,
+                                       output& out) {
+    // The other host speaks for itself; here or at a host before it the request may have run all the same.
+    const auto& it = relays_.at(token);
+    auto report = answer.report;
+    if (!report.may_have_run() && (it.sent_here || it.lost > 0)) {
+        report = {execution::may_have_run, execution_source::gateway};
+    }
+    answer_relay(token, {std::move(answer), report}, now, out);
+}
+
+void gateway::answer_relay(request_token token, gateway_reply reply, time_point now, output& out) {
     const auto found = relays_.find(token);
     const auto& it = found->second;
+    reply = with_true_promise(std::move(reply));
     gateway_action::answer answer;
     answer.token = token;
-    answer.value = std::move(value);
+    answer.value = std::move(reply.value);
+    answer.report = reply.report;
     answer.summary.id = it.id;
     answer.summary.fingerprint = it.fingerprint;
     answer.summary.route = it.route->name;
@@ -285,11 +302,12 @@
     switch (result.outcome) {
     case relay_outcome::answered:
         peers_.note_word(it.peer, now);
-        if (result.answer.status != status_unavailable || it.refusal) {
-            answer_relay(token, std::move(result.answer), now, out);
+        // If the host had no room for the request, which has not run there, another one may have.
+        if (result.answer.report.may_have_run() || result.answer.status != status_unavailable || it.refusal) {
+            answer_with_word_of_peer(token, std::move(result.answer), now, out);
             return;
         }
-        it.accepted = false; // The host had no room; the request has not run there.
+        it.accepted = false;
         it.refusal = std::move(result.answer);
         break;
     case relay_outcome::declined:
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -8,6 +8,15 @@
 /// Marks the tokens of requests of other gateways; the HTTP server counts its own from 1.
 constexpr request_token relayed_mark = request_token{1} << 63U;
 
+/// A client has only the status; another host is told what is known of the execution.
+struct answer_with {
+    outgoing_response& response;
+    const execution_report& report;
+
+    void operator()(const respond& client) const { client(std::move(response)); }
+    void operator()(const relay_respond& host) const { host(std::move(response), report); }
+};
+
 } // namespace
 
 gateway_front::gateway_front(event_loop& loop, const platform_binding& binding, http_limits limits,
@@ -71,14 +80,14 @@
         return std::nullopt;
     };
     out.peers_to_name = [this] { return gateway_.peers_to_name(loop_.now()); };
-    out.take = [this](relay_request request, respond answer) {
+    out.take = [this](relay_request request, relay_respond answer) {
         return take_relayed(std::move(request), std::move(answer));
     };
     out.withdraw = [this](request_token token) { withdraw(token); };
     return out;
 }
 
-request_token gateway_front::take_relayed(relay_request request, respond answer) {
+request_token gateway_front::take_relayed(relay_request request, relay_respond answer) {
     const auto token = relayed_mark | ++last_relayed_;
     incoming_request incoming;
     incoming.id = token;
@@ -238,7 +247,7 @@
                       loop_.now() - open.arrived);
     measured_.count("answers", "route=\"" + action.summary.route + "\",status=\"" +
                                    std::to_string(response.status) + "\"");
-    open.answer(std::move(response));
+    std::visit(answer_with{response, action.report}, open.answer_to);
 }
 
 void gateway_front::log_answer(const gateway_action::answer& action, int status, duration retry_after) {
--- a/src/skylarkseam/shell/gateway_front.hpp
+++ b/src/skylarkseam/shell/gateway_front.hpp
@@ -14,6 +14,7 @@
 
 #include <deque>
 #include <unordered_map>
+#include <variant>
 
 namespace skylarkseam {
 
@@ -60,14 +61,16 @@
     [[nodiscard]] std::uint64_t rejected() const { return server_.rejected(); }
 
 private:
+    /// A client of this host, or another host.
+    using asker = std::variant<respond, relay_respond>;
     struct open_request {
         incoming_request request;
-        respond answer;
+        asker answer_to;
         time_point arrived{};
     };
 
     void take(incoming_request request, respond answer);
-    request_token take_relayed(relay_request request, respond answer);
+    request_token take_relayed(relay_request request, relay_respond answer);
     void withdraw(request_token token);
     /// Removes an open request.
     void forget(request_token token);
--- a/src/skylarkseam/shell/relay_runner.cpp
+++ b/src/skylarkseam/shell/relay_runner.cpp
@@ -17,9 +17,9 @@
     return out;
 }
 
-gateway_answer::relayed to_answer(outgoing_response response) {
+gateway_answer::relayed to_answer(outgoing_response response, const execution_report& report) {
     return {response.status, std::move(response.content_type), to_fields(response.headers),
-            std::move(response.body)};
+            std::move(response.body), report};
 }
 
 } // namespace
@@ -79,11 +79,13 @@
         return;
     }
     const auto answered = std::make_shared<bool>(false);
-    const auto token = handlers_.take(std::move(request.value()), [to, answered](outgoing_response response) {
-        *answered = true;
-        to->send(encode(to_answer(std::move(response))));
-        to->finish();
-    });
+    const auto token =
+        handlers_.take(std::move(request.value()),
+                       [to, answered](outgoing_response response, const execution_report& report) {
+                           *answered = true;
+                           to->send(encode(to_answer(std::move(response), report)));
+                           to->finish();
+                       });
     to->on_withdrawn([this, token, answered, alive = std::weak_ptr<bool>(alive_)] {
         if (alive.lock() && !*answered) {
             handlers_.withdraw(token);
--- a/src/skylarkseam/shell/relay_runner.hpp
+++ b/src/skylarkseam/shell/relay_runner.hpp
@@ -13,6 +13,9 @@
 
 namespace skylarkseam {
 
+/// Takes the answer to a request of another gateway, once.
+using relay_respond = std::function<void(outgoing_response response, const execution_report& report)>;
+
 /// The side that decides and answers.
 struct relay_handlers {
     std::function<void(gateway_input event)> deliver;
@@ -21,7 +24,7 @@
     /// Gateways that are named to one that looks for others.
     std::function<std::vector<relay_peer>()> peers_to_name;
     /// Takes an accepted request. Returns its token.
-    std::function<request_token(relay_request request, respond answer)> take;
+    std::function<request_token(relay_request request, relay_respond answer)> take;
     std::function<void(request_token token)> withdraw;
 };
 
--- a/src/skylarkseam/wire/msgpack_message.hpp
+++ b/src/skylarkseam/wire/msgpack_message.hpp
@@ -82,12 +82,15 @@
     const msgpack::object* next_ = nullptr;
 };
 
+/// Decodes the message at the beginning of `bytes`, and takes it off them.
 template <typename T, typename Read>
-result<T> decode_message(std::string_view bytes, std::uint32_t fields, Read read) {
+result<T> take_message(std::string_view& bytes, std::uint32_t fields, Read read) {
     try {
         const auto by_reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        std::size_t end = 0;
         const auto handle =
-            msgpack::unpack(bytes.data(), bytes.size(), by_reference, nullptr, decode_limits());
+            msgpack::unpack(bytes.data(), bytes.size(), end, by_reference, nullptr, decode_limits());
+        bytes.remove_prefix(end);
         field_reader reader(handle.get(), fields + 1);
         if (reader.next<std::uint32_t>() != codec_version) {
             return make_error(error_kind::protocol_violation, "a message of another version");
@@ -99,6 +102,13 @@
     }
 }
 
+/// Decodes a message and ignores what follows it: a later build may append a message that this one does not
+/// know.
+template <typename T, typename Read>
+result<T> decode_message(std::string_view bytes, std::uint32_t fields, Read read) {
+    return take_message<T>(bytes, fields, std::move(read));
+}
+
 inline const msgpack::object_array& array_of(const msgpack::object& from) {
     if (from.type != msgpack::type::ARRAY) {
         throw msgpack::type_error();
--- a/src/skylarkseam/wire/relay_codec.cpp
+++ b/src/skylarkseam/wire/relay_codec.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint32_t request_fields = 8;
 constexpr std::uint32_t decision_fields = 2;
 constexpr std::uint32_t answer_fields = 4;
+constexpr std::uint32_t report_fields = 2;
 constexpr std::uint32_t header_fields = 2;
 constexpr std::uint32_t question_fields = 1;
 constexpr std::uint32_t offer_fields = 2;
@@ -73,12 +74,17 @@
 }
 
 std::string encode(const gateway_answer::relayed& answer) {
-    return encode_message(answer_fields, [&](packer& to) {
-        to.pack(answer.status);
-        to.pack(answer.content_type);
-        pack_headers(to, answer.headers);
-        to.pack(answer.body);
-    });
+    return encode_message(answer_fields,
+                          [&](packer& to) {
+                              to.pack(answer.status);
+                              to.pack(answer.content_type);
+                              pack_headers(to, answer.headers);
+                              to.pack(answer.body);
+                          }) +
+           encode_message(report_fields, [&](packer& to) {
+               to.pack(static_cast<std::uint32_t>(answer.report.state));
+               to.pack(static_cast<std::uint32_t>(answer.report.source));
+           });
 }
 
 result<relay_request> decode_relay_request(std::string_view bytes) {
@@ -106,7 +112,7 @@
 }
 
 result<gateway_answer::relayed> decode_relayed_answer(std::string_view bytes) {
-    return decode_message<gateway_answer::relayed>(bytes, answer_fields, [](field_reader& from) {
+    auto answer = take_message<gateway_answer::relayed>(bytes, answer_fields, [](field_reader& from) {
         gateway_answer::relayed it;
         from.read_into(it.status);
         from.read_into(it.content_type);
@@ -115,6 +121,18 @@
         check_answer(it);
         return it;
     });
+    if (!answer || bytes.empty()) {
+        return answer; // A build that appends no report leaves it unstated.
+    }
+    const auto report = take_message<execution_report>(bytes, report_fields, [](field_reader& from) {
+        const auto state = from.next_enum(execution::may_have_run);
+        return execution_report{state, from.next_enum(execution_source::searcher)};
+    });
+    if (!report) {
+        return report.error();
+    }
+    answer.value().report = report.value();
+    return answer;
 }
 
 std::string encode(const relay_question& question) {
--- a/src/skylarkseam/wire/relay_codec.hpp
+++ b/src/skylarkseam/wire/relay_codec.hpp
@@ -1,5 +1,6 @@
 // Encoding of the messages with which a gateway passes a client's request on to another one, in MessagePack.
-// The reply has two frames: whether the request is accepted, and the answer.
+// The reply has two frames: whether the request is accepted, and the answer. Behind the answer, in its frame,
+// stands what is known of the request's execution, which earlier builds neither append nor read.
 #pragma once
 
 #include <skylarkseam/core/error.hpp>
--- a/tests/gateway/false_promise_test.cpp
+++ b/tests/gateway/false_promise_test.cpp
@@ -17,8 +17,8 @@
     gateway_world world;
     std::vector<std::string> services;
 
-    explicit false_promise_world(bool shards, repeatability repeat)
-        : world(3)
+    explicit false_promise_world(bool shards, repeatability repeat, std::uint32_t hosts = 3)
+        : world(hosts)
         , services(shards ? std::vector<std::string>{"s0", "s1", "s2"} : std::vector<std::string>{"desk"}) {
         for (const auto& it : services) {
             world.add_service(it, 4, {"a", "b", "c"});
@@ -136,6 +136,136 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_request_that_is_passed_on_to_another_host)
+
+// Guards against a second run: the searcher of one host has run the request and answered 503, and the host
+// that has no searchers takes this for "no room, not run" and passes the request on again.
+BOOST_AUTO_TEST_CASE(runs_once_and_gets_no_false_promise) {
+    for (const bool old_builds : {false, true}) {
+        for (const auto& shape : shapes) {
+            for (const int status : promising_statuses) {
+                false_promise_world it(shape.shards, shape.repeat);
+                it.each_searcher([&](auto& behaviour) {
+                    behaviour.failed_share = 0.5;
+                    behaviour.failed_status = status;
+                    behaviour.refused_share = 0.2;
+                });
+                it.world.links[0] = upstream_links::refused;
+                if (old_builds) {
+                    it.world.of_an_old_build = {1, 2};
+                }
+                it.world.load(shape.shards ? "/search/x" : "/audit/x", 60.0, seconds(8));
+                it.world.run_for(seconds(12));
+                const auto text = std::string(shape.name) + " " + std::to_string(status) +
+                                  (old_builds ? ", old builds" : "");
+                it.check(text);
+                BOOST_TEST(it.world.hosts[0]->counters().relayed > 20U, text);
+                for (const auto& result : it.world.results) {
+                    BOOST_TEST((shape.repeat == repeatability::idempotent || it.runs_of(result.id) <= 1),
+                               text);
+                }
+            }
+        }
+    }
+}
+
+namespace {
+
+struct stranded_host {
+    false_promise_world it;
+    gateway& host;
+    std::vector<gateway_output> out;
+    request_token token = 1'000'000; ///< Beyond those of the world
+
+    explicit stranded_host(repeatability repeat)
+        : it(false, repeat, 4)
+        , host(*it.world.hosts[0]) {
+        it.world.links[0] = upstream_links::refused;
+        it.world.load("/audit/x", 60.0, seconds(2));
+        it.world.run_for(seconds(3));
+        BOOST_TEST_REQUIRE(host.reach().cut_off());
+        host.handle(gateway_event::request_arrived{{token, "r", "search.example", "/audit/y", seconds(2)}},
+                    it.world.now, out);
+    }
+
+    /// Answers of hosts, one after the other. Returns what the client is told; nothing if it still waits.
+    std::optional<gateway_action::answer> hear(const std::vector<gateway_answer::relayed>& answers) {
+        for (const auto& answer : answers) {
+            host.handle(gateway_event::relay_accepted{token}, it.world.now, out);
+            out.clear();
+            host.handle(gateway_event::relay_ended{token, {relay_outcome::answered, answer, {}}},
+                        it.world.now, out);
+        }
+        for (auto& action : out) {
+            if (auto* const answer = std::get_if<gateway_action::answer>(&action)) {
+                return *answer;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+int status_of(const gateway_action::answer& answer) {
+    const auto* const refused = std::get_if<gateway_answer::refused>(&answer.value);
+    return refused != nullptr ? refused->status : std::get<gateway_answer::relayed>(answer.value).status;
+}
+
+gateway_answer::relayed answer_with(int status, const execution_report& report) {
+    return {status, "text/plain", {}, "body", report};
+}
+
+constexpr execution_report not_run{execution::not_run, execution_source::gateway};
+constexpr execution_report unstated{};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(is_not_passed_on_again_if_the_other_host_does_not_say_that_it_has_not_run) {
+    for (const auto repeat : {repeatability::at_most_once, repeatability::idempotent}) {
+        for (const int status : promising_statuses) {
+            for (const auto& report :
+                 {unstated, execution_report{execution::may_have_run, execution_source::searcher}}) {
+                stranded_host it(repeat);
+                const auto answer = it.hear({answer_with(status, report)});
+                BOOST_TEST_REQUIRE(answer.has_value(), status);
+                BOOST_TEST(status_of(*answer) == 502, status);
+                BOOST_TEST(answer->report.may_have_run(), status);
+                BOOST_TEST((answer->report.source == report.source), status);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_passed_on_once_more_if_it_has_not_run_and_then_refused) {
+    stranded_host it(repeatability::at_most_once);
+    BOOST_TEST(!it.hear({answer_with(503, not_run)}).has_value());
+    const auto answer = it.hear({answer_with(503, not_run)});
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST(status_of(*answer) == 503);
+    BOOST_TEST(!answer->report.may_have_run());
+}
+
+// Guards against the refusal of one host that stands for a host before it, which has not answered.
+BOOST_AUTO_TEST_CASE(is_not_refused_as_not_run_if_it_was_lost_at_another_host) {
+    stranded_host it(repeatability::idempotent);
+    it.host.handle(gateway_event::relay_ended{it.token, {relay_outcome::lost, {}, "reset"}}, it.it.world.now,
+                   it.out);
+    const auto answer = it.hear({answer_with(503, not_run), answer_with(503, not_run)});
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST(status_of(*answer) == 502);
+    BOOST_TEST(answer->report.may_have_run());
+}
+
+BOOST_AUTO_TEST_CASE(is_answered_as_the_other_host_says_if_its_status_promises_nothing) {
+    for (const int status : {200, 404, 500, 502, 504}) {
+        stranded_host it(repeatability::at_most_once);
+        const auto answer = it.hear({answer_with(status, unstated)});
+        BOOST_TEST_REQUIRE(answer.has_value(), status);
+        BOOST_TEST(status_of(*answer) == status);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_request_that_no_searcher_has_run)
 
 BOOST_AUTO_TEST_CASE(is_refused_with_a_time_to_come_back) {
--- a/tests/gateway/gateway_world.hpp
+++ b/tests/gateway/gateway_world.hpp
@@ -145,9 +145,10 @@
     /// Number of arrivals at a service beyond the first one of each request.
     std::uint64_t extra_arrivals = 0;
 
-    std::map<std::uint32_t, upstream_links> links;     ///< By host; sound if absent.
-    std::set<std::uint32_t> still;                     ///< Hosts that handle no request of another host.
-    std::set<std::uint32_t> of_an_old_build;           ///< Hosts that cannot say whether they take requests.
+    std::map<std::uint32_t, upstream_links> links; ///< By host; sound if absent.
+    std::set<std::uint32_t> still;                 ///< Hosts that handle no request of another host.
+    std::set<std::uint32_t>
+        of_an_old_build; ///< Hosts that cannot say whether they take requests, or have run one.
     std::map<std::uint32_t, std::size_t> questions_to; ///< Number of such questions to each host.
     std::set<std::string> deadly_paths; ///< A request with such a path crashes each searcher that runs it.
     duration down_time = seconds(3);    ///< Time until a searcher that crashed has started again.
--- a/tests/gateway/host_links.cpp
+++ b/tests/gateway/host_links.cpp
@@ -158,6 +158,9 @@
     answer.outcome = relay_outcome::answered;
     answer.answer.status = result.status;
     answer.answer.body = std::string(result.missing, 'm'); // As many bytes as parts are missing.
+    if (!of_an_old_build.contains(origin.at)) {
+        answer.answer.report = result.report;
+    }
     after(between(host, origin.host), [this, origin, answer] {
         handle(origin.host, gateway_event::relay_ended{origin.token, answer});
     });
--- a/tests/shell/relay_runner_test.cpp
+++ b/tests/shell/relay_runner_test.cpp
@@ -98,6 +98,12 @@
         return response;
     }
 
+    /// Liveness requests of the other gateway arrive as well.
+    [[nodiscard]] std::ptrdiff_t count_runs() const {
+        return std::count_if(runs.begin(), runs.end(),
+                             [](const auto& it) { return it.starts_with("POST /x?y=%2f"); });
+    }
+
     /// Whether the other gateway uses its searcher again, after a fault that has ended.
     bool is_served_again() {
         constexpr int most_tries = 30;
@@ -217,13 +223,37 @@
         BOOST_TEST(response.status == 502, status << " got " << response.status);
         BOOST_TEST(response.body.find("stray") == std::string::npos, status);
         BOOST_TEST(response.header("x-proof") == "", status);
-        // Liveness requests of the other gateway arrive as well.
-        const auto arrived = std::count_if(runs.begin(), runs.end(),
-                                           [](const auto& it) { return it.starts_with("POST /x?y=%2f"); });
-        BOOST_TEST(arrived == 1, status);
+        BOOST_TEST(count_runs() == 1, status);
     }
 }
 
+// Guards against a searcher's 503 for a request that it has run: the request went on to a third gateway, and
+// ran there as well.
+BOOST_AUTO_TEST_CASE(passes_no_request_on_again_that_a_searcher_of_the_other_one_has_run) {
+    gateway_side third(loop, searcher.address, 3);
+    cut.front.decisions().set_peers({{sound.peer_address, "a"}, {third.peer_address, "a"}});
+    lose_searchers();
+    const auto good = answer;
+    for (const std::string status : {"408", "421", "429", "503"}) {
+        answer = good;
+        BOOST_REQUIRE(is_served_again());
+        runs.clear();
+        answer = "HTTP/1.1 " + status + " Failed\r\nContent-Length: 0\r\nX-Proof: p\r\n\r\n";
+        const auto response = fetch("f" + status);
+        BOOST_TEST(response.status == 502, status << " got " << response.status);
+        BOOST_TEST(response.header("x-proof") == "", status);
+        BOOST_TEST(count_runs() == 1, status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_as_not_run_what_the_searchers_of_the_others_refuse) {
+    lose_searchers();
+    answer = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n\r\n";
+    const auto response = fetch("q12");
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(!response.header("retry-after").empty());
+}
+
 BOOST_AUTO_TEST_CASE(tells_that_the_outcome_is_unknown_if_the_other_one_ends) {
     lose_searchers();
     answer.clear();
--- a/tests/wire/relay_codec_test.cpp
+++ b/tests/wire/relay_codec_test.cpp
@@ -1,5 +1,6 @@
 // Requests and answers that gateways pass on are unchanged after encoding and decoding, and corrupted bytes
 // are decoded or rejected without a crash.
+#include <skylarkseam/wire/msgpack_message.hpp>
 #include <skylarkseam/wire/relay_codec.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -58,6 +59,69 @@
     BOOST_TEST(answer.value().body == "no");
 }
 
+BOOST_AUTO_TEST_CASE(keep_what_is_known_of_their_execution) {
+    for (const auto state : {execution::not_run, execution::may_have_run}) {
+        for (const auto source :
+             {execution_source::unstated, execution_source::gateway, execution_source::searcher}) {
+            const auto out = decode_relayed_answer(
+                encode(gateway_answer::relayed{503, "a/b", {{"X-A", "b"}}, "x", {state, source}}));
+            BOOST_TEST_REQUIRE(out.has_value());
+            BOOST_TEST((out.value().report.state == state));
+            BOOST_TEST((out.value().report.source == source));
+        }
+    }
+}
+
+namespace {
+
+/// The answer as builds without a report encode it.
+std::string without_report(int status) {
+    return encode_message(4, [&](packer& to) {
+        to.pack(status);
+        to.pack(std::string("a/b"));
+        to.pack_array(0);
+        to.pack(std::string("x"));
+    });
+}
+
+} // namespace
+
+// Guards against an earlier build's 503 that counts as "not run": it may be a searcher's that has run the
+// request.
+BOOST_AUTO_TEST_CASE(may_have_run_if_their_answer_comes_from_a_build_that_does_not_say_it) {
+    for (const int status : {200, 404, 503}) {
+        const auto out = decode_relayed_answer(without_report(status));
+        BOOST_TEST_REQUIRE(out.has_value());
+        BOOST_TEST(out.value().status == status);
+        BOOST_TEST(out.value().report.may_have_run());
+        BOOST_TEST((out.value().report.source == execution_source::unstated));
+    }
+}
+
+// Such builds read the first message of the frame.
+BOOST_AUTO_TEST_CASE(are_read_by_builds_that_know_no_report) {
+    const auto bytes = encode(gateway_answer::relayed{503, "a/b", {}, "x", {execution::not_run}});
+    BOOST_TEST(bytes.starts_with(without_report(503)));
+    BOOST_TEST(decode_message<int>(bytes, 4, [](field_reader& from) { return from.next<int>(); }).value() ==
+               503);
+}
+
+BOOST_AUTO_TEST_CASE(are_rejected_with_a_report_that_is_not_one) {
+    const auto answer = without_report(503);
+    for (const auto& report : std::vector<std::pair<int, int>>{{2, 0}, {0, 3}, {-1, 0}, {0, -1}}) {
+        BOOST_TEST(!decode_relayed_answer(answer + encode_message(2,
+                                                                  [&](packer& to) {
+                                                                      to.pack(report.first);
+                                                                      to.pack(report.second);
+                                                                  }))
+                        .has_value());
+    }
+    const auto whole = encode(gateway_answer::relayed{503, "a/b", {}, "x", {execution::not_run}});
+    for (auto n = answer.size() + 1; n < whole.size(); ++n) {
+        BOOST_TEST(!decode_relayed_answer(std::string_view(whole).substr(0, n)).has_value());
+    }
+}
+
 // An older build passes on what it got from a searcher.
 BOOST_AUTO_TEST_CASE(are_rejected_where_a_client_could_not_take_the_answer) {
     for (const int status : {-1, 0, 99, 100, 101, 199, 600, 999}) {
