Use the type of the error table for whether a request ran

The report of an answer had an enumeration of its own beside run_state, which the nodes' errors and the JSON of both interfaces already use.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -43,7 +43,7 @@
 [[nodiscard]] std::string_view name_of(attempt_outcome outcome);
 
 /// What the outcome says of the attempt's request at its searcher.
-[[nodiscard]] execution execution_of(attempt_outcome outcome);
+[[nodiscard]] run_state run_state_of(attempt_outcome outcome);
 
 struct header_field {
     std::string name;
@@ -287,7 +287,8 @@
     request_token token = 0;
     any_answer value;
     request_summary summary;
-    execution_report report{}; ///< Of the request. A status that promises "not run" goes with `not_run` only.
+    execution_report
+        report{}; ///< Of the request. A status that promises "not run" goes with `run_state::no` only.
 };
 /// Reports that a part of a request was sent to another searcher.
 struct report_retry {
--- a/src/skylarkseam/gateway/execution.cpp
+++ b/src/skylarkseam/gateway/execution.cpp
@@ -10,11 +10,6 @@
 /// Request timeout, misdirected request, too many requests, service unavailable.
 constexpr std::array promising_statuses{408, 421, 429, 503};
 
-constexpr name_table execution_names{std::array{
-    named_value<execution>{execution::not_run, "not_run"},
-    named_value<execution>{execution::may_have_run, "may_have_run"},
-}};
-
 constexpr name_table source_names{std::array{
     named_value<execution_source>{execution_source::unstated, "unstated"},
     named_value<execution_source>{execution_source::gateway, "gateway"},
@@ -23,10 +18,6 @@
 
 } // namespace
 
-std::string_view name_of(execution state) {
-    return execution_names.name_of(state);
-}
-
 std::string_view name_of(execution_source source) {
     return source_names.name_of(source);
 }
--- a/src/skylarkseam/gateway/gateway_answers.cpp
+++ b/src/skylarkseam/gateway/gateway_answers.cpp
@@ -28,7 +28,7 @@
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 
-constexpr execution_report run_at_searcher{execution::may_have_run, execution_source::searcher};
+constexpr execution_report run_at_searcher{run_state::yes, execution_source::searcher};
 
 } // namespace
 
@@ -73,7 +73,7 @@
     answer.summary.fingerprint = request.fingerprint;
     answer.summary.config_version = table_->version;
     answer.summary.detail = std::string(name_of(reason));
-    answer.report = {execution::not_run, execution_source::gateway};
+    answer.report = {run_state::no, execution_source::gateway};
     ++counters_.refused;
     out.emplace_back(std::move(answer));
 }
@@ -136,13 +136,13 @@
         const bool timed_out = reason == refusal_reason::deadline || reason == refusal_reason::draining;
         return {gateway_answer::refused{reason, timed_out ? status_timeout : status_bad_gateway,
                                         duration::zero()},
-                {execution::may_have_run, execution_source::gateway}};
+                {run_state::unknown, execution_source::gateway}};
     }
     const auto delay = std::max(retry_after_base(reason), std::min(run.expected_wait, max_wait_retry_after));
     // The jitter never brings a client back before the searchers take requests again.
     const auto retry_after = std::max(jittered(delay), run.searchers_back_in + jittered(delay) / 2);
     return {gateway_answer::refused{reason, status_unavailable, retry_after},
-            {execution::not_run, execution_source::gateway}};
+            {run_state::no, execution_source::gateway}};
 }
 
 void gateway::finish(const run_ptr& run, gateway_reply reply, time_point now, output& out) {
--- a/src/skylarkseam/gateway/gateway_attempts.cpp
+++ b/src/skylarkseam/gateway/gateway_attempts.cpp
@@ -214,7 +214,7 @@
     }
     run->last_fault = std::string(name_of(result.outcome)) + " " + result.detail;
     const bool idempotent = run->route->repeat == repeatability::idempotent;
-    it.may_have_run = it.may_have_run || execution_of(result.outcome) == execution::may_have_run;
+    it.may_have_run = it.may_have_run || run_state_of(result.outcome) != run_state::no;
     switch (result.outcome) {
     case attempt_outcome::answered: {
         run->last_fault += "status " + std::to_string(result.response.status);
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -241,7 +241,7 @@
         const int status = now >= it.deadline ? status_timeout : status_bad_gateway;
         answer_relay(token,
                      {gateway_answer::refused{refusal_reason::cut_off, status, duration::zero()},
-                      {execution::may_have_run, execution_source::gateway}},
+                      {run_state::unknown, execution_source::gateway}},
                      now, out);
     } else if (it.refusal) {
         answer_with_word_of_peer(token, std::move(*it.refusal), now, out);
@@ -249,7 +249,7 @@
         const auto delay = jittered(retry_after_base(refusal_reason::cut_off));
         answer_relay(token,
                      {gateway_answer::refused{refusal_reason::cut_off, status_unavailable, delay},
-                      {execution::not_run, execution_source::gateway}},
+                      {run_state::no, execution_source::gateway}},
                      now, out);
     }
 }
@@ -260,7 +260,7 @@
     const auto& it = relays_.at(token);
     auto report = answer.report;
     if (!report.may_have_run() && (it.sent_here || it.lost > 0)) {
-        report = {execution::may_have_run, execution_source::gateway};
+        report = {run_state::unknown, execution_source::gateway};
     }
     answer_relay(token, {std::move(answer), report}, now, out);
 }
--- a/src/skylarkseam/gateway/gateway_suspects.cpp
+++ b/src/skylarkseam/gateway/gateway_suspects.cpp
@@ -36,7 +36,7 @@
     answer.summary.fingerprint = request.fingerprint;
     answer.summary.config_version = table_->version;
     answer.summary.detail = std::string(name_of(refusal_reason::crashes));
-    answer.report = {execution::not_run, execution_source::gateway};
+    answer.report = {run_state::no, execution_source::gateway};
     out.emplace_back(std::move(answer));
     return true;
 }
--- a/src/skylarkseam/gateway/request_run.cpp
+++ b/src/skylarkseam/gateway/request_run.cpp
@@ -63,17 +63,17 @@
     return outcome_names.name_of(outcome);
 }
 
-execution execution_of(attempt_outcome outcome) {
+run_state run_state_of(attempt_outcome outcome) {
     switch (outcome) {
     case attempt_outcome::refused:
     case attempt_outcome::replaced:
     case attempt_outcome::not_sent:
-        return execution::not_run;
+        return run_state::no;
     case attempt_outcome::answered:
     case attempt_outcome::broken:
-        return execution::may_have_run;
+        return run_state::unknown;
     }
-    return execution::may_have_run;
+    return run_state::unknown;
 }
 
 std::string_view name_of(refusal_reason reason) {
--- a/src/skylarkseam/shell/gateway_front.cpp
+++ b/src/skylarkseam/shell/gateway_front.cpp
@@ -268,8 +268,8 @@
                {"extra", it.extra_attempts},
                {"relay", it.relay},
                {"retry_after_ms", static_cast<std::uint64_t>(to_ms(retry_after))},
-               {"execution", name_of(action.report.state)},
-               {"execution_by", name_of(action.report.source)},
+               {"ran", name_of(action.report.ran)},
+               {"ran_by", name_of(action.report.source)},
                {"fault", it.detail}});
 }
 
--- a/src/skylarkseam/wire/relay_codec.cpp
+++ b/src/skylarkseam/wire/relay_codec.cpp
@@ -82,7 +82,7 @@
                               to.pack(answer.body);
                           }) +
            encode_message(report_fields, [&](packer& to) {
-               to.pack(static_cast<std::uint32_t>(answer.report.state));
+               to.pack(static_cast<std::uint32_t>(answer.report.ran));
                to.pack(static_cast<std::uint32_t>(answer.report.source));
            });
 }
@@ -125,7 +125,7 @@
         return answer; // A build that appends no report leaves it unstated.
     }
     const auto report = take_message<execution_report>(bytes, report_fields, [](field_reader& from) {
-        const auto state = from.next_enum(execution::may_have_run);
+        const auto state = from.next_enum(run_state::unknown);
         return execution_report{state, from.next_enum(execution_source::searcher)};
     });
     if (!report) {
--- a/tests/gateway/false_promise_test.cpp
+++ b/tests/gateway/false_promise_test.cpp
@@ -214,7 +214,7 @@
     return {status, "text/plain", {}, "body", report};
 }
 
-constexpr execution_report not_run{execution::not_run, execution_source::gateway};
+constexpr execution_report not_run{run_state::no, execution_source::gateway};
 constexpr execution_report unstated{};
 
 } // namespace
@@ -223,7 +223,7 @@
     for (const auto repeat : {repeatability::at_most_once, repeatability::idempotent}) {
         for (const int status : promising_statuses) {
             for (const auto& report :
-                 {unstated, execution_report{execution::may_have_run, execution_source::searcher}}) {
+                 {unstated, execution_report{run_state::yes, execution_source::searcher}}) {
                 stranded_host it(repeat);
                 const auto answer = it.hear({answer_with(status, report)});
                 BOOST_TEST_REQUIRE(answer.has_value(), status);
--- a/tests/shell/request_forwarding_test.cpp
+++ b/tests/shell/request_forwarding_test.cpp
@@ -51,16 +51,16 @@
 BOOST_AUTO_TEST_CASE(states_that_the_request_has_not_run_by_its_header_or_by_the_name_of_another_searcher) {
     for (const int status : {200, 400, 408, 421, 429, 500, 503}) {
         const auto marked = read(status, {{"X-Refused", "1"}}).outcome;
-        BOOST_TEST((execution_of(marked) == execution::not_run), status);
-        BOOST_TEST((execution_of(read(status, {}).outcome) == execution::may_have_run), status);
+        BOOST_TEST((run_state_of(marked) == run_state::no), status);
+        BOOST_TEST((run_state_of(read(status, {}).outcome) == run_state::unknown), status);
         const auto own = read(status, {{"X-Searcher", "i-1"}}).outcome;
-        BOOST_TEST((execution_of(own) == execution::may_have_run), status);
+        BOOST_TEST((run_state_of(own) == run_state::unknown), status);
         const auto other = read(status, {{"X-Searcher", "i-2"}}).outcome;
-        BOOST_TEST((execution_of(other) == execution::not_run) == (status == 421), status);
+        BOOST_TEST((run_state_of(other) == run_state::no) == (status == 421), status);
     }
     BOOST_TEST((read(421, {{"X-Searcher", "i-2"}}).outcome == attempt_outcome::replaced));
     BOOST_TEST((read(421, {{"X-Refused", "1"}}).outcome == attempt_outcome::replaced));
-    BOOST_TEST((execution_of(read(421, {{"X-Searcher", ""}}).outcome) == execution::may_have_run));
+    BOOST_TEST((run_state_of(read(421, {{"X-Searcher", ""}}).outcome) == run_state::unknown));
 }
 
 BOOST_AUTO_TEST_CASE(may_name_an_absurd_time) {
--- a/tests/wire/relay_codec_test.cpp
+++ b/tests/wire/relay_codec_test.cpp
@@ -60,13 +60,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(keep_what_is_known_of_their_execution) {
-    for (const auto state : {execution::not_run, execution::may_have_run}) {
+    for (const auto state : {run_state::no, run_state::yes, run_state::unknown}) {
         for (const auto source :
              {execution_source::unstated, execution_source::gateway, execution_source::searcher}) {
             const auto out = decode_relayed_answer(
                 encode(gateway_answer::relayed{503, "a/b", {{"X-A", "b"}}, "x", {state, source}}));
             BOOST_TEST_REQUIRE(out.has_value());
-            BOOST_TEST((out.value().report.state == state));
+            BOOST_TEST((out.value().report.ran == state));
             BOOST_TEST((out.value().report.source == source));
         }
     }
@@ -100,7 +100,7 @@
 
 // Such builds read the first message of the frame.
 BOOST_AUTO_TEST_CASE(are_read_by_builds_that_know_no_report) {
-    const auto bytes = encode(gateway_answer::relayed{503, "a/b", {}, "x", {execution::not_run}});
+    const auto bytes = encode(gateway_answer::relayed{503, "a/b", {}, "x", {run_state::no}});
     BOOST_TEST(bytes.starts_with(without_report(503)));
     BOOST_TEST(decode_message<int>(bytes, 4, [](field_reader& from) { return from.next<int>(); }).value() ==
                503);
@@ -108,7 +108,7 @@
 
 BOOST_AUTO_TEST_CASE(are_rejected_with_a_report_that_is_not_one) {
     const auto answer = without_report(503);
-    for (const auto& report : std::vector<std::pair<int, int>>{{2, 0}, {0, 3}, {-1, 0}, {0, -1}}) {
+    for (const auto& report : std::vector<std::pair<int, int>>{{3, 0}, {0, 3}, {-1, 0}, {0, -1}}) {
         BOOST_TEST(!decode_relayed_answer(answer + encode_message(2,
                                                                   [&](packer& to) {
                                                                       to.pack(report.first);
@@ -116,7 +116,7 @@
                                                                   }))
                         .has_value());
     }
-    const auto whole = encode(gateway_answer::relayed{503, "a/b", {}, "x", {execution::not_run}});
+    const auto whole = encode(gateway_answer::relayed{503, "a/b", {}, "x", {run_state::no}});
     for (auto n = answer.size() + 1; n < whole.size(); ++n) {
         BOOST_TEST(!decode_relayed_answer(std::string_view(whole).substr(0, n)).has_value());
     }
