Take a searcher's refusal at a node for "not run" only if it says so

A node took 503, 409 and 410 of a searcher for refusals by their status alone, so that an effect which had run and then failed with 503 was answered as not run, and its key could run again. Such an answer now counts only with "ran":"no" in its body, as the searchers' errors have it; any other one is a failure with an unknown outcome.

--- a/src/skylarkseam/core/error.cpp
+++ b/src/skylarkseam/core/error.cpp
@@ -58,6 +58,10 @@
     return answer_for(kind).name;
 }
 
+std::optional<run_state> find_run_state(std::string_view name) {
+    return run_state_names.find(name);
+}
+
 std::string_view name_of(run_state ran) {
     return run_state_names.name_of(ran);
 }
--- a/src/skylarkseam/core/error.hpp
+++ b/src/skylarkseam/core/error.hpp
@@ -4,6 +4,7 @@
 #include <boost/outcome/result.hpp>
 #include <boost/outcome/try.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,7 @@
 [[nodiscard]] const error_answer& answer_for(error_kind kind);
 [[nodiscard]] std::string_view name_of(error_kind kind);
 [[nodiscard]] std::string_view name_of(run_state ran);
+[[nodiscard]] std::optional<run_state> find_run_state(std::string_view name);
 
 /// Error value used throughout the program: its kind, a description of the fault, and whether the request
 /// ran.
--- a/src/skylarkseam/shell/owner_runner.cpp
+++ b/src/skylarkseam/shell/owner_runner.cpp
@@ -8,14 +8,20 @@
 namespace skylarkseam {
 namespace {
 
+constexpr int status_ok = 200;
 constexpr duration answer_grace = milliseconds(50); ///< beyond the deadline, for an answer that is on its way
 constexpr duration cancel_timeout = seconds(1);
 constexpr duration health_timeout = seconds(1);
 
-subquery_outcome outcome_of(int status) {
-    switch (status) {
-    case 200:
+/// A refusal counts only if the searcher states that it has not run the request.
+subquery_outcome outcome_of(const http_response& http) {
+    if (http.status == status_ok) {
         return subquery_outcome::answered;
+    }
+    if (decode_run_state(http.body) != run_state::no) {
+        return subquery_outcome::failed;
+    }
+    switch (http.status) {
     case 409:
         return subquery_outcome::snapshot_not_held;
     case 410:
@@ -38,7 +44,7 @@
         return answer;
     }
     answer.completed = true;
-    answer.outcome = outcome_of(http.status);
+    answer.outcome = outcome_of(http);
     if (answer.outcome == subquery_outcome::answered) {
         const auto decoded = decode_search_answer(http.body, answer);
         if (!decoded) {
@@ -235,7 +241,7 @@
     request.timeout = health_timeout;
     http_.send(std::move(request), [this, name = action.searcher](const http_response& http) {
         upstream_health health;
-        if (http.status == 200) {
+        if (http.status == status_ok) {
             if (auto decoded = decode_health(http.body)) {
                 health = std::move(decoded.value());
             }
--- a/src/skylarkseam/wire/upstream_json.cpp
+++ b/src/skylarkseam/wire/upstream_json.cpp
@@ -54,6 +54,15 @@
     }
 }
 
+run_state decode_run_state(const std::string& body) {
+    const auto from = json::parse(body, nullptr, false);
+    const auto found = from.is_object() ? from.find("ran") : from.end();
+    if (!from.is_object() || found == from.end() || !found->is_string()) {
+        return run_state::unknown;
+    }
+    return find_run_state(found->get<std::string>()).value_or(run_state::unknown);
+}
+
 result<upstream_health> decode_health(const std::string& body) {
     try {
         const auto from = json::parse(body);
--- a/src/skylarkseam/wire/upstream_json.hpp
+++ b/src/skylarkseam/wire/upstream_json.hpp
@@ -15,6 +15,9 @@
 /// which part is invalid.
 [[nodiscard]] result<void> decode_search_answer(const std::string& body, upstream_answer& answer);
 
+/// What the body of a searcher's error says of its request; `unknown` if it says nothing.
+[[nodiscard]] run_state decode_run_state(const std::string& body);
+
 /// Decodes the answer to GET /health.
 [[nodiscard]] result<upstream_health> decode_health(const std::string& body);
 
--- a/tests/shell/owner_runner_test.cpp
+++ b/tests/shell/owner_runner_test.cpp
@@ -102,3 +102,31 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_refusal_of_a_searcher)
+
+// Guards against a searcher that has run a request, fails and answers 503: an effect was taken for not run.
+BOOST_AUTO_TEST_CASE(counts_as_not_run_only_if_the_searcher_says_so) {
+    const std::map<int, subquery_outcome> refusals{{503, subquery_outcome::not_run_shed},
+                                                   {409, subquery_outcome::snapshot_not_held},
+                                                   {410, subquery_outcome::shard_not_held}};
+    const auto outcome_of = [](int status, const std::string& body) {
+        owner_fixture it; // A refusal changes what the owner sends to the searcher.
+        it.submit(1);
+        BOOST_REQUIRE(it.run_until([&] { return it.searches.size() == 1; }));
+        it.searches.begin()->second({status, body, "application/json", {}});
+        BOOST_REQUIRE(it.run_until([&] { return it.replies.size() == 1; }));
+        return it.replies.front().outcome;
+    };
+    for (const auto& [status, stated] : refusals) {
+        for (const std::string body :
+             {"", "{}", "[]", "overloaded", R"({"ran":"yes"})", R"({"ran":"unknown"})", R"({"ran":0})",
+              R"({"ran":"never"})", R"({"error":"overloaded"})"}) {
+            BOOST_TEST((outcome_of(status, body) == subquery_outcome::failed), status << " " << body);
+        }
+        BOOST_TEST((outcome_of(status, R"({"error":"x","ran":"no","detail":""})") == stated), status);
+    }
+    BOOST_TEST((outcome_of(500, R"({"ran":"no"})") == subquery_outcome::failed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
