Say in plain terms what the report of an answer is

Comments only: the head of gateway/execution.hpp, the source of a report that an earlier build leaves out, and the report of a host that had the request after another one. test_gateway and test_wire: no error.

--- a/src/skylarkseam/gateway/exchange.hpp
+++ b/src/skylarkseam/gateway/exchange.hpp
@@ -137,7 +137,7 @@
     std::string content_type;
     std::vector<header_field> headers;
     std::string body;
-    execution_report report{}; ///< As the other host states it; a build that does not has left it unstated.
+    execution_report report{}; ///< As the other host states it; unstated by earlier builds.
 };
 struct refused {
     refusal_reason reason = refusal_reason::broken;
--- a/src/skylarkseam/gateway/execution.hpp
+++ b/src/skylarkseam/gateway/execution.hpp
@@ -1,5 +1,5 @@
-// What is said of the execution of a request, and who says it. It travels with each answer, so that nobody
-// has to conclude from a status whether the request may have run.
+// What is said of the execution of a request, and who says it. It goes with each answer between the request
+// logic, the I/O layer and other hosts, so that it is not inferred from a status.
 #pragma once
 
 #include <skylarkseam/core/error.hpp>
@@ -10,7 +10,7 @@
 namespace skylarkseam {
 
 enum class execution_source : std::uint32_t {
-    unstated, ///< Nobody: the answer came from a host whose build does not say it.
+    unstated, ///< The answer came from a host of an earlier build, which does not state it.
     gateway,  ///< A gateway, from what it has sent and what came back.
     searcher, ///< The searcher whose answer it is.
 };
--- a/src/skylarkseam/gateway/gateway_relay.cpp
+++ b/src/skylarkseam/gateway/gateway_relay.cpp
@@ -256,7 +256,7 @@
 
 void gateway::answer_with_word_of_peer(request_token token, gateway_answer::relayed answer, time_point now,
                                        output& out) {
-    // The other host speaks for itself; here or at a host before it the request may have run all the same.
+    // The other host knows its own searchers only. The request may have run here or at a host before it.
     const auto& it = relays_.at(token);
     auto report = answer.report;
     if (!report.may_have_run() && (it.sent_here || it.lost > 0)) {
