Test false promises on relays while the processes of both hosts end

The relays of false_promise_test.cpp now run while either host ends what is open, forty times in four seconds: no request runs twice and no client gets a false promise, with hosts of this and of the earlier build. No error; no change of the product.

--- a/tests/gateway/false_promise_test.cpp
+++ b/tests/gateway/false_promise_test.cpp
@@ -155,6 +155,12 @@
                     it.world.of_an_old_build = {1, 2};
                 }
                 it.world.load(shape.shards ? "/search/x" : "/audit/x", 60.0, seconds(8));
+                // The processes of both sides end what is open, and go on in this model.
+                for (int n = 0; n < 40; ++n) {
+                    it.world.after(seconds(3) + milliseconds(n * 97), [&it, n] {
+                        it.world.end_open_requests(static_cast<std::uint32_t>(n % 2));
+                    });
+                }
                 it.world.run_for(seconds(12));
                 const auto text = std::string(shape.name) + " " + std::to_string(status) +
                                   (old_builds ? ", old builds" : "");
