Let a test's pool of connections outlive the task that it has posted

The address sanitizer found a use after free in answer_no_request_that_could_not_be_sent: the pool frees ended connections in a task of the next turn, and the test destroyed the pool before that turn. The product's pool lives as long as its loop runs. The test runs the turn first; with the sanitizer it and the other tests of the file pass now.

--- a/tests/shell/upstream_endings_test.cpp
+++ b/tests/shell/upstream_endings_test.cpp
@@ -99,6 +99,7 @@
         BOOST_REQUIRE(run_until([&] { return results.size() == 2; }));
         BOOST_TEST(!results.at(2).response.has_value());
         BOOST_TEST(!results.at(2).sent);
+        run_turns(1); // The pool frees its ended connections in a later turn, and has to be there.
     }
 }
 
